--- /dev/null
+++ b/comfreyusher/cli/_apply.py
@@ -0,0 +1,87 @@
+"""Declarative application of a directory of declarations."""
+
+import dataclasses
+import json
+import pathlib
+
+from comfreyusher.cli._errors import CliError
+
+REVISIONS_FILE = ".comfreyusher.json"
+PATTERNS = ("*.json", "*.jsonc")
+
+
+@dataclasses.dataclass(frozen=True)
+class Planned:
+    """What happens to one file."""
+
+    name: str
+    action: str
+    body: dict
+    based_on: int
+
+
+def apply_directory(directory, in_force, read, publish, note):
+    """Plan a directory, and publish the plan unless ``publish`` is ``None``.
+
+    ``in_force`` maps names to reports, ``read`` returns the checked body of a
+    file, and ``note`` prints a line. Returns the plan.
+    """
+    folder = pathlib.Path(directory)
+    if not folder.is_dir():
+        raise CliError(f"{directory} is not a directory")
+    bodies = [read(str(path)) for path in _files_of(folder)]
+    revisions = _read_revisions(folder)
+    plan = [_plan_one(body, in_force, revisions) for body in bodies]
+    for step in plan:
+        note(f"{step.action:9} {step.name}")
+    if publish is not None:
+        for step in plan:
+            _carry_out(step, in_force, revisions, publish)
+        _write_revisions(folder, revisions)
+    return plan
+
+
+def _files_of(folder):
+    found = [path for pattern in PATTERNS for path in folder.glob(pattern)]
+    return sorted(path for path in found if path.name != REVISIONS_FILE)
+
+
+def _plan_one(body, in_force, revisions):
+    name = body["name"]
+    current = in_force.get(name)
+    if current is None:
+        return Planned(name, "create", body, 0)
+    if current["body"] == body:
+        return Planned(name, "unchanged", body, current["revision"])
+    if revisions.get(name) != current["revision"]:
+        return Planned(name, "conflict", body, current["revision"])
+    return Planned(name, "revise", body, current["revision"])
+
+
+def _carry_out(step, in_force, revisions, publish):
+    if step.action in ("create", "revise"):
+        revisions[step.name] = publish(step.body, step.based_on)["revision"]
+    elif step.action == "unchanged":
+        revisions[step.name] = in_force[step.name]["revision"]
+
+
+def _read_revisions(folder):
+    path = folder / REVISIONS_FILE
+    try:
+        revisions = json.loads(path.read_text())
+    except FileNotFoundError:
+        return {}
+    except (OSError, ValueError) as error:
+        raise CliError(f"{path} cannot be read: {error}") from error
+    if not isinstance(revisions, dict):
+        raise CliError(f"{path} is not an object of revisions")
+    return revisions
+
+
+def _write_revisions(folder, revisions):
+    path = folder / REVISIONS_FILE
+    text = json.dumps(revisions, indent=2, sort_keys=True) + "\n"
+    try:
+        path.write_text(text)
+    except OSError as error:
+        raise CliError(f"{path} cannot be written: {error}") from error
--- /dev/null
+++ b/comfreyusher/cli/_output.py
@@ -0,0 +1,67 @@
+"""Printing of answers: JSON for programs, short lines for people."""
+
+import json
+
+import click
+
+
+def show(context, value, describe):
+    """Print a value as JSON, or the lines that ``describe`` makes of it."""
+    if context.as_json:
+        click.echo(json.dumps(value))
+        return
+    for line in describe(value):
+        click.echo(line)
+
+
+def show_note(text):
+    """Print progress or a plan, beside the output proper."""
+    click.echo(text, err=True)
+
+
+def describe_in_force(reports):
+    """Return a line a data centre."""
+    return [
+        f"{report['data_centre']}: in force on {report['confirmed']} of "
+        f"{report['nodes']} nodes"
+        for report in reports
+    ]
+
+
+def describe_status(status):
+    """Return the lines of a node's status."""
+    lines = [
+        f"node {status['node']} in {status['data_centre']} ({status['region']})",
+        f"phase {status['phase']}, configuration offset {status['offset']}, "
+        f"{status['requests_in_flight']} requests in flight",
+        f"{len(status['members'])} nodes in the fleet",
+    ]
+    for group in status["groups"]:
+        lines.append(
+            f"group {group['name']}: {group['healthy_slots']} healthy slots, floor "
+            f"{group['floor_slots']}, {group['queued']} queued"
+        )
+        for upstream in group["upstreams"]:
+            lines.append(
+                f"  {upstream['name']}: {upstream['standing']}, "
+                f"{upstream['in_flight']}/{upstream['slots']} busy"
+            )
+    return lines
+
+
+def describe_declarations(reports):
+    """Return a line a declaration."""
+    return [
+        f"{report['name']}  revision {report['revision']}  by "
+        f"{report['author'] or 'unknown'}"
+        for report in reports
+    ]
+
+
+def describe_history(items):
+    """Return a line a publication."""
+    return [
+        f"offset {item['offset']}  revision {item['revision'] or '-'}  "
+        f"{item['author'] or 'unknown'}  {item['outcome']}"
+        for item in items
+    ]
--- /dev/null
+++ b/comfreyusher/cli/_serve.py
@@ -0,0 +1,48 @@
+"""The command that runs a node."""
+
+import dataclasses
+import json
+import sys
+
+import click
+from absl import flags, logging
+
+from comfreyusher.settings import load_settings
+from comfreyusher.status import ExitStatus
+
+
+@click.command(
+    epilog="\b\nExample:\n  comfreyusher serve --settings node.json",
+)
+@click.option("--settings", "path", required=True, help="Settings file.")
+@click.pass_obj
+def serve(context, path):
+    """Run a node until a signal ends it gracefully.
+
+    The first line of the output is a JSON object with the node's ports.
+    """
+    from comfreyusher.node import assemble
+
+    context.document_status = ExitStatus.INVALID_SETTINGS
+    settings = load_settings(path)
+    start_logging()
+    node = assemble(settings)
+    ports = {
+        field.name: getattr(node, field.name)
+        for field in dataclasses.fields(node)
+        if field.name != "root"
+    }
+    click.echo(json.dumps(ports))
+    sys.stdout.flush()
+    logging.info("node: listening callers=%d", node.callers_port)
+    node.root.run()
+    return ExitStatus.SUCCESS
+
+
+def start_logging():
+    """Send logs to standard error, one line each."""
+    flags.FLAGS.mark_as_parsed()
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    logging.set_stderrthreshold("info")
+
--- /dev/null
+++ b/comfreyusher/declarations/_fold.py
@@ -0,0 +1,137 @@
+"""The fold of the configuration stream: the same on every node.
+
+The first valid record on a base wins. Later records on the same base are
+conflicts. An offset at or below the catalogue's own changes nothing, so a
+node never goes back.
+"""
+
+import dataclasses
+from typing import Any
+
+import immutables
+
+from comfreyusher.declarations._model import KINDS, parse_declaration
+from comfreyusher.declarations._record import Record, RecordError, decode_record
+from comfreyusher.documents import DocumentError
+
+KEPT_PUBLICATIONS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A declaration in force.
+
+    ``stated_ms`` is the log's time of the newest record that states it.
+    """
+
+    record: Record
+    value: Any
+    offset: int
+    stated_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A publication that lost; ``reason`` is for its operator."""
+
+    publish_id: str
+    offset: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Catalogue:
+    """All declarations in force at a log offset.
+
+    ``entries`` maps ``kind/name`` to ``Entry``. ``settled`` maps recent
+    publish ids to their revision, ``conflicts`` to their ``Conflict``.
+    """
+
+    offset: int = 0
+    entries: immutables.Map = immutables.Map()
+    settled: immutables.Map = immutables.Map()
+    conflicts: immutables.Map = immutables.Map()
+    skipped: int = 0
+
+
+def apply_record(catalogue, offset, text, time_ms=0):
+    """Return the catalogue after the log record at ``offset``."""
+    if offset <= catalogue.offset:
+        return catalogue
+    moved = dataclasses.replace(catalogue, offset=offset)
+    try:
+        record = decode_record(text)
+        value = _parse_value(record)
+    except RecordError:
+        return dataclasses.replace(moved, skipped=moved.skipped + 1)
+    key = f"{record.kind}/{record.name}"
+    current = moved.entries.get(key)
+    if record.restated:
+        return _restate(moved, key, current, Entry(record, value, offset, time_ms))
+    return _publish(moved, key, current, Entry(record, value, offset, time_ms))
+
+
+def list_in_force(catalogue, kind):
+    """Return the values of one kind, sorted by name."""
+    prefix = f"{kind}/"
+    found = [
+        entry.value
+        for key, entry in catalogue.entries.items()
+        if key.startswith(prefix)
+    ]
+    return sorted(found, key=lambda value: value.name)
+
+
+def _parse_value(record):
+    if record.kind not in KINDS:
+        raise RecordError(f"record has the unknown kind {record.kind!r}")
+    try:
+        value = parse_declaration(record.kind, record.body, "log")
+    except DocumentError as error:
+        raise RecordError(str(error.exceptions[0])) from error
+    if value.name != record.name:
+        raise RecordError("record's name differs from its body")
+    return value
+
+
+def _publish(catalogue, key, current, entry):
+    record = entry.record
+    if record.publish_id in catalogue.settled:
+        return catalogue
+    revision = current.record.revision if current else 0
+    if record.based_on != revision:
+        reason = f"{key} is at revision {revision}, not {record.based_on}"
+        conflict = Conflict(record.publish_id, entry.offset, reason)
+        conflicts = catalogue.conflicts.set(record.publish_id, conflict)
+        return dataclasses.replace(
+            catalogue, conflicts=_bound(conflicts, lambda item: item.offset)
+        )
+    return _put(catalogue, key, entry)
+
+
+def _restate(catalogue, key, current, entry):
+    """Take a restated record unless a newer revision is in force."""
+    if current is None or entry.record.revision > current.record.revision:
+        return _put(catalogue, key, entry)
+    if entry.record.revision < current.record.revision:
+        return catalogue
+    stated = dataclasses.replace(current, stated_ms=entry.stated_ms)
+    entries = catalogue.entries.set(key, stated)
+    return dataclasses.replace(catalogue, entries=entries)
+
+
+def _put(catalogue, key, entry):
+    settled = catalogue.settled.set(entry.record.publish_id, entry.offset)
+    return dataclasses.replace(
+        catalogue,
+        entries=catalogue.entries.set(key, entry),
+        settled=_bound(settled, lambda offset: offset),
+    )
+
+
+def _bound(known, offset_of):
+    """Forget the oldest half once twice the kept number is reached."""
+    if len(known) <= 2 * KEPT_PUBLICATIONS:
+        return known
+    newest = sorted(known.items(), key=lambda item: offset_of(item[1]))
+    return immutables.Map(newest[-KEPT_PUBLICATIONS:])
--- /dev/null
+++ b/comfreyusher/declarations/_record.py
@@ -0,0 +1,61 @@
+"""Records of the configuration stream in the log."""
+
+import dataclasses
+import uuid
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from comfreyusher.errors import ComfreyusherError
+
+FORMAT = 1
+
+
+class RecordError(ComfreyusherError):
+    """A record that every node skips in the same way."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One publication.
+
+    ``based_on`` is the revision that the operator saw; 0 for a new name.
+    ``restated`` marks a copy of a record in force, appended before the log's
+    retention drops the original.
+    """
+
+    format: Annotated[int, Meta(ge=1)]
+    publish_id: Annotated[str, Meta(min_length=8, max_length=64)]
+    kind: str
+    name: str
+    revision: Annotated[int, Meta(ge=1)]
+    based_on: Annotated[int, Meta(ge=0)]
+    body: dict[str, Any]
+    author: str = ""
+    restated: bool = False
+
+
+def new_record(kind, name, based_on, body, author):
+    """Return the record that publishes a body on top of a revision."""
+    return Record(
+        FORMAT, uuid.uuid4().hex, kind, name, based_on + 1, based_on, body, author
+    )
+
+
+def encode_record(record):
+    """Return the text that stands in the log."""
+    return msgspec.json.encode(record).decode()
+
+
+def decode_record(text):
+    """Return the record in a log text, or raise ``RecordError``."""
+    try:
+        record = msgspec.json.decode(text, type=Record)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise RecordError(f"unreadable record: {error}") from error
+    if record.format != FORMAT:
+        raise RecordError(f"record has format {record.format}, known is {FORMAT}")
+    if record.revision != record.based_on + 1:
+        raise RecordError("record's revision does not follow its base")
+    return record
--- /dev/null
+++ b/comfreyusher/flow/__init__.py
@@ -0,0 +1,39 @@
+"""Pipes, tasks, the timer service and the socket tasks they run on."""
+
+from comfreyusher.flow._datagrams import DatagramTask
+from comfreyusher.flow._pipe import Step, passed, pipe, stopped
+from comfreyusher.flow._poller import Poller
+from comfreyusher.flow._streams import (
+    Accepted,
+    Closed,
+    Connected,
+    Drained,
+    Received,
+    StreamTask,
+    bind_listener,
+)
+from comfreyusher.flow._task import Address, Task, fire_message
+from comfreyusher.flow._timers import Subscribe, Tick, TimerService, Unsubscribe
+
+__all__ = [
+    "Accepted",
+    "Address",
+    "Closed",
+    "Connected",
+    "DatagramTask",
+    "Drained",
+    "Poller",
+    "Received",
+    "Step",
+    "StreamTask",
+    "Subscribe",
+    "Task",
+    "Tick",
+    "TimerService",
+    "Unsubscribe",
+    "bind_listener",
+    "fire_message",
+    "passed",
+    "pipe",
+    "stopped",
+]
--- /dev/null
+++ b/comfreyusher/flow/_streams.py
@@ -0,0 +1,358 @@
+"""TCP connections on circuits' poller, with back-pressure in both directions.
+
+circuits' ``TCPClient`` waits for a connection in a generator that is visited
+on every tick, and ``TCPServer`` can neither pause reading nor tell when its
+write buffer is empty. This task is their nearest kin on the same poller.
+"""
+
+import collections
+import dataclasses
+import errno
+import itertools
+import socket
+import ssl
+
+from circuits import Event, handler
+
+from comfreyusher.flow._task import Task
+
+READ_SIZE_BYTES = 65536
+BACKLOG_CONNECTIONS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """A caller connected; ``host`` is its address."""
+
+    connection: int
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Connected:
+    """An outgoing connection is established."""
+
+    connection: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """Bytes arrived; empty bytes mean that the other side sent its last."""
+
+    connection: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drained:
+    """All written bytes were handed to the kernel."""
+
+    connection: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """The connection is gone; ``connected`` tells if it ever was up."""
+
+    connection: int
+    connected: bool
+    reason: str
+
+
+class _failed(Event):
+    """A connect failed before the poller could report it."""
+
+
+class Connection:
+    """State of one socket: what is unsent and how it ends."""
+
+    def __init__(self, sock, number, connected):
+        self.sock = sock
+        self.number = number
+        self.connected = connected
+        self.handshaking = False
+        self.unsent = collections.deque()
+        self.unsent_bytes = 0
+        self.closing = False
+        self.ended = False
+
+
+def bind_listener(host, port):
+    """Return a listening, non-blocking TCP socket."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(BACKLOG_CONNECTIONS)
+    listener.setblocking(False)
+    return listener
+
+
+class StreamTask(Task):
+    """Owns TCP sockets; subclasses override the ``on_*`` hooks."""
+
+    def __init__(self, channel, poller, tls_server=None, tls_client=None, **kwargs):
+        super().__init__(channel, **kwargs)
+        self.poller = poller
+        self.tls_server = tls_server
+        self.tls_client = tls_client
+        self.listener = None
+        self.connections = {}
+        self.numbers = itertools.count(1)
+        self.by_socket = {}
+
+    # Hooks -------------------------------------------------------------
+
+    def on_accepted(self, event):
+        """Handle ``Accepted``."""
+
+    def on_connected(self, event):
+        """Handle ``Connected``."""
+
+    def on_received(self, event):
+        """Handle ``Received``."""
+
+    def on_drained(self, event):
+        """Handle ``Drained``."""
+
+    def on_closed(self, event):
+        """Handle ``Closed``."""
+
+    # Commands ----------------------------------------------------------
+
+    def listen_on(self, listener):
+        """Accept connections from a listening socket."""
+        self.listener = listener
+        self.poller.addReader(self, listener)
+
+    def stop_listening(self):
+        """Close the listening socket; open connections stay."""
+        if self.listener is None:
+            return
+        self.poller.discard(self.listener)
+        self.listener.close()
+        self.listener = None
+
+    def open_connection(self, host, port):
+        """Start connecting and return the connection's number."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = self._add(sock, connected=False)
+        failure = sock.connect_ex((host, port))
+        if failure not in (0, errno.EINPROGRESS):
+            self.fire(_failed(sock, errno.errorcode.get(failure, "error")), self)
+        else:
+            self.poller.addWriter(self, sock)
+        return connection.number
+
+    def write(self, number, data):
+        """Send bytes, keeping what the kernel does not take yet."""
+        connection = self.connections.get(number)
+        if connection is None or connection.closing or not data:
+            return
+        connection.unsent.append(memoryview(data))
+        connection.unsent_bytes += len(data)
+        if connection.connected:
+            self._flush(connection)
+
+    def unsent_bytes(self, number):
+        """Return how many written bytes the kernel has not taken."""
+        connection = self.connections.get(number)
+        return connection.unsent_bytes if connection else 0
+
+    def pause_reading(self, number):
+        """Stop reading, so that the sender is slowed down by TCP."""
+        connection = self.connections.get(number)
+        if connection and connection.connected:
+            self.poller.removeReader(connection.sock)
+
+    def resume_reading(self, number):
+        """Read again after ``pause_reading``."""
+        connection = self.connections.get(number)
+        if connection and connection.connected and not connection.ended:
+            self.poller.addReader(self, connection.sock)
+
+    def close(self, number):
+        """Close the connection once all written bytes are sent."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return
+        connection.closing = True
+        if not connection.unsent or not connection.connected:
+            self._drop(connection, "closed")
+
+    def abort(self, number):
+        """Close the connection at once, dropping unsent bytes."""
+        connection = self.connections.get(number)
+        if connection is None:
+            return
+        try:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            pass
+        self._drop(connection, "aborted")
+
+    # Events of the poller ----------------------------------------------
+
+    @handler("_read")
+    def on_readable(self, sock):
+        """Accept or read."""
+        if sock is self.listener:
+            self._accept()
+            return
+        connection = self.by_socket.get(sock)
+        if connection is None:
+            return
+        if connection.handshaking:
+            self._shake_hands(connection)
+            return
+        self._read_from(connection)
+
+    @handler("_write")
+    def on_writable(self, sock):
+        """Finish a connect or send what is left."""
+        connection = self.by_socket.get(sock)
+        if connection is None:
+            return
+        if not connection.connected:
+            self._finish_connect(connection)
+        elif connection.handshaking:
+            self._shake_hands(connection)
+        else:
+            self._flush(connection)
+
+    @handler("_disconnect", "_failed")
+    def on_disconnect(self, sock, reason="disconnected"):
+        """Drop a connection that the kernel reports as broken."""
+        connection = self.by_socket.get(sock)
+        if connection is not None:
+            self._drop(connection, reason)
+
+    # Steps -------------------------------------------------------------
+
+    def _accept(self):
+        for _ in range(BACKLOG_CONNECTIONS):
+            try:
+                sock, address = self.listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = self._add(sock, connected=True)
+            self._start_tls(connection, self.tls_server, server_side=True)
+            self.on_accepted(Accepted(connection.number, address[0]))
+            if connection.number in self.connections:
+                self.poller.addReader(self, connection.sock)
+
+    def _add(self, sock, connected):
+        connection = Connection(sock, next(self.numbers), connected)
+        self.connections[connection.number] = connection
+        self.by_socket[sock] = connection
+        return connection
+
+    def _start_tls(self, connection, context, server_side):
+        if context is None:
+            return
+        del self.by_socket[connection.sock]
+        self.poller.discard(connection.sock)
+        connection.sock = context.wrap_socket(
+            connection.sock,
+            server_side=server_side,
+            do_handshake_on_connect=False,
+            suppress_ragged_eofs=True,
+        )
+        self.by_socket[connection.sock] = connection
+        connection.handshaking = True
+
+    def _shake_hands(self, connection):
+        try:
+            connection.sock.do_handshake()
+        except ssl.SSLWantReadError:
+            self.poller.removeWriter(connection.sock)
+            self.poller.addReader(self, connection.sock)
+            return
+        except ssl.SSLWantWriteError:
+            self.poller.addWriter(self, connection.sock)
+            return
+        except (ssl.SSLError, OSError) as error:
+            self._drop(connection, f"TLS handshake failed: {error}")
+            return
+        connection.handshaking = False
+        self.poller.removeWriter(connection.sock)
+        self.poller.addReader(self, connection.sock)
+        if self.tls_client is not None and connection.sock.server_side is False:
+            self.on_connected(Connected(connection.number))
+        self._flush(connection)
+
+    def _finish_connect(self, connection):
+        failure = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failure:
+            self._drop(connection, errno.errorcode.get(failure, "error"))
+            return
+        connection.connected = True
+        self.poller.removeWriter(connection.sock)
+        if self.tls_client is not None:
+            self._start_tls(connection, self.tls_client, server_side=False)
+            self._shake_hands(connection)
+            return
+        self.poller.addReader(self, connection.sock)
+        self.on_connected(Connected(connection.number))
+        if connection.number in self.connections:
+            self._flush(connection)
+
+    def _read_from(self, connection):
+        while True:
+            try:
+                data = connection.sock.recv(READ_SIZE_BYTES)
+            except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
+                return
+            except OSError as error:
+                self._drop(connection, errno.errorcode.get(error.errno, "error"))
+                return
+            if not data:
+                connection.ended = True
+                self.poller.removeReader(connection.sock)
+            self.on_received(Received(connection.number, data))
+            if not data or connection.number not in self.connections:
+                return
+            if not self._has_decrypted(connection):
+                return
+
+    def _has_decrypted(self, connection):
+        """Tell if TLS holds bytes that the poller does not know of."""
+        pending = getattr(connection.sock, "pending", None)
+        return pending is not None and pending() > 0
+
+    def _flush(self, connection):
+        if connection.handshaking:
+            return
+        while connection.unsent:
+            chunk = connection.unsent[0]
+            try:
+                sent = connection.sock.send(chunk)
+            except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+                sent = 0
+            except OSError as error:
+                self._drop(connection, errno.errorcode.get(error.errno, "error"))
+                return
+            connection.unsent_bytes -= sent
+            if sent == len(chunk):
+                connection.unsent.popleft()
+                continue
+            connection.unsent[0] = chunk[sent:]
+            self.poller.addWriter(self, connection.sock)
+            return
+        self.poller.removeWriter(connection.sock)
+        if connection.closing:
+            self._drop(connection, "closed")
+            return
+        self.on_drained(Drained(connection.number))
+
+    def _drop(self, connection, reason):
+        if self.connections.pop(connection.number, None) is None:
+            return
+        self.by_socket.pop(connection.sock, None)
+        self.poller.discard(connection.sock)
+        connection.sock.close()
+        self.on_closed(Closed(connection.number, connection.connected, reason))
--- /dev/null
+++ b/comfreyusher/flow/_timers.py
@@ -0,0 +1,82 @@
+"""The timer service: the only part that reads time to wake up other parts."""
+
+import dataclasses
+import heapq
+import itertools
+
+from circuits import handler
+
+from comfreyusher.flow._task import Task
+
+CHANNEL = "timers"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for a ``Tick`` after ``period_s``, and again if ``repeat`` is set."""
+
+    channel: str
+    name: str
+    period_s: float
+    repeat: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsubscribe:
+    """Stop the ticks of this name on this channel."""
+
+    channel: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """A period of a subscription ended; ``now_s`` is monotonic seconds."""
+
+    name: str
+    now_s: float
+
+
+class TimerService(Task):
+    """Fires ticks from one heap of due times and sleeps in the poller between."""
+
+    def __init__(self, **kwargs):
+        super().__init__(CHANNEL, **kwargs)
+        self.due = []
+        self.active = {}
+        self.numbers = itertools.count()
+        self.routes = {Subscribe: self.subscribe, Unsubscribe: self.unsubscribe}
+
+    def subscribe(self, subscription):
+        """Add or replace a subscription."""
+        number = next(self.numbers)
+        self.active[(subscription.channel, subscription.name)] = number
+        self._push(number, subscription, self.clock())
+
+    def unsubscribe(self, subscription):
+        """Forget a subscription; its heap entry expires unheard."""
+        self.active.pop((subscription.channel, subscription.name), None)
+
+    def _push(self, number, subscription, now):
+        heapq.heappush(self.due, (now + subscription.period_s, number, subscription))
+
+    @handler("generate_events", priority=1)
+    def on_generate_events(self, event):
+        """Fire what is due and bound the poller's sleep by the next due time."""
+        now = self.clock()
+        while self.due and self.due[0][0] <= now:
+            _, number, subscription = heapq.heappop(self.due)
+            self._fire_tick(number, subscription, now)
+            event.reduce_time_left(0)
+        if self.due:
+            event.reduce_time_left(max(0.0, self.due[0][0] - now))
+
+    def _fire_tick(self, number, subscription, now):
+        key = (subscription.channel, subscription.name)
+        if self.active.get(key) != number:
+            return
+        self.tell(subscription.channel, Tick(subscription.name, now))
+        if subscription.repeat:
+            self._push(number, subscription, now)
+        else:
+            del self.active[key]
--- /dev/null
+++ b/comfreyusher/http/_client.py
@@ -0,0 +1,269 @@
+"""HTTP client task: one request a connection at a time, kept-alive pools.
+
+An answer belongs to the connection that carried its request, so answers can
+neither cross nor arrive out of order.
+"""
+
+import collections
+
+from comfreyusher.flow import StreamTask, Subscribe, Tick
+from comfreyusher.http._errors import HttpError
+from comfreyusher.http._parse import Body, Head, ReplyParser
+from comfreyusher.http._write import write_chunk, write_request_head
+from comfreyusher.messages import (
+    ReplyBody,
+    ReplyCredit,
+    ReplyInterim,
+    ReplyStart,
+    SendBody,
+    SendCancel,
+    SendCredit,
+    SendFailed,
+    SendStart,
+)
+
+SWEEP_PERIOD_S = 0.25
+IDLE_TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 1.0
+WINDOW_BYTES = 262144
+MAX_IDLE_CONNECTIONS = 16
+
+
+class ClientConnection:
+    """State of one connection to a server."""
+
+    def __init__(self, place, now):
+        self.place = place
+        self.parser = ReplyParser()
+        self.exchange = None
+        self.up = False
+        self.opened = now
+        self.last_used = now
+        self.sent = False
+        self.chunked = False
+        self.request_ended = False
+        self.reply_started = False
+        self.reply_ended = False
+        self.keep_alive = True
+        self.owed_bytes = 0
+        self.uncredited_bytes = 0
+
+
+class HttpClientTask(StreamTask):
+    """Sends requests and reports their replies to the task on ``consumer``."""
+
+    def __init__(
+        self,
+        channel,
+        consumer,
+        poller,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+        idle_timeout_s=IDLE_TIMEOUT_S,
+        **kwargs,
+    ):
+        super().__init__(channel, poller, **kwargs)
+        self.consumer = consumer
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+        self.states = {}
+        self.exchanges = {}
+        self.idle = collections.defaultdict(list)
+        self.routes = {
+            SendStart: self.start_request,
+            SendBody: self.continue_request,
+            SendCancel: self.cancel,
+            ReplyCredit: self.take_credit,
+            Tick: self.sweep,
+        }
+
+    def prepare(self):
+        """Subscribe to the sweep of timeouts."""
+        self.tell("timers", Subscribe(self.channel, "sweep", SWEEP_PERIOD_S))
+
+    # Requests ------------------------------------------------------------
+
+    def start_request(self, start):
+        """Take a kept-alive connection or open one, and write the request."""
+        place = (start.host, start.port)
+        number = None if start.fresh else self._take_idle(place)
+        if number is None:
+            number = self.open_connection(start.host, start.port)
+            self.states[number] = ClientConnection(place, self.clock())
+        state = self.states[number]
+        state.exchange = start.exchange
+        self.exchanges[start.exchange] = number
+        self._write_start(number, state, start)
+
+    def _take_idle(self, place):
+        numbers = self.idle.get(place)
+        while numbers:
+            number = numbers.pop()
+            if number in self.states:
+                return number
+        return None
+
+    def _write_start(self, number, state, start):
+        state.parser.expect_reply(start.head.method)
+        state.reply_started = False
+        state.reply_ended = False
+        state.request_ended = start.ended
+        state.sent = state.up
+        length = len(start.body) if start.ended else None
+        framed = any(
+            name.lower() == b"content-length" for name, _ in start.head.headers
+        )
+        state.chunked = not start.ended and not framed
+        head = write_request_head(start.head, state.chunked, length)
+        body = write_chunk(start.body, state.chunked) if start.body else b""
+        state.owed_bytes = len(start.body)
+        self.write(number, head + body)
+        self._pay_credit(number, state)
+
+    def continue_request(self, more):
+        """Write more body bytes."""
+        number = self.exchanges.get(more.exchange)
+        if number is None:
+            return
+        state = self.states[number]
+        if more.body:
+            state.owed_bytes += len(more.body)
+            self.write(number, write_chunk(more.body, state.chunked))
+        if more.ended:
+            state.request_ended = True
+            if state.chunked:
+                self.write(number, b"0\r\n\r\n")
+        self._pay_credit(number, state)
+        self._finish(number, state)
+
+    def cancel(self, cancel):
+        """Close the connection of a request that nobody waits for."""
+        number = self.exchanges.pop(cancel.exchange, None)
+        if number is not None:
+            self.states[number].exchange = None
+            self.abort(number)
+
+    def _pay_credit(self, number, state):
+        if state.owed_bytes and state.up and not self.unsent_bytes(number):
+            if state.exchange is not None:
+                credit = SendCredit(state.exchange, state.owed_bytes)
+                self.tell(self.consumer, credit)
+            state.owed_bytes = 0
+
+    # Socket hooks --------------------------------------------------------
+
+    def on_connected(self, event):
+        state = self.states.get(event.connection)
+        if state is not None:
+            state.up = True
+            state.sent = True
+
+    def on_drained(self, event):
+        state = self.states.get(event.connection)
+        if state is not None:
+            self._pay_credit(event.connection, state)
+
+    def on_received(self, event):
+        state = self.states.get(event.connection)
+        if state is None:
+            return
+        if state.exchange is None:
+            self.abort(event.connection)
+            return
+        try:
+            events = self._parse(state, event.data)
+        except HttpError as error:
+            self._fail(event.connection, state, str(error))
+            return
+        self._report(event.connection, state, events)
+        if not event.data and event.connection in self.states:
+            self._fail(event.connection, state, "the reply was cut")
+
+    def _parse(self, state, data):
+        return state.parser.feed(data) if data else state.parser.feed_end()
+
+    def on_closed(self, event):
+        state = self.states.pop(event.connection, None)
+        if state is not None and state.exchange is not None:
+            self._tell_failure(state, event.reason)
+
+    def _fail(self, number, state, reason):
+        if state.exchange is not None:
+            self._tell_failure(state, reason)
+            state.exchange = None
+        self.abort(number)
+
+    def _tell_failure(self, state, reason):
+        self.exchanges.pop(state.exchange, None)
+        failure = SendFailed(state.exchange, state.sent, state.reply_started, reason)
+        self.tell(self.consumer, failure)
+
+    # Replies -------------------------------------------------------------
+
+    def _report(self, number, state, events):
+        """Tell the consumer a head with its first bytes, then more bytes."""
+        head = None
+        parts = []
+        for event in events:
+            if isinstance(event, Head):
+                if 100 <= event.head.status < 200:
+                    self._tell_interim(state, event.head)
+                    continue
+                head = event
+            elif isinstance(event, Body):
+                parts.append(event.data)
+            else:
+                state.reply_ended = True
+        body = b"".join(parts)
+        state.uncredited_bytes += len(body)
+        if head is not None:
+            state.reply_started = True
+            state.keep_alive = head.keep_alive
+            reply = ReplyStart(state.exchange, head.head, body, state.reply_ended)
+            self.tell(self.consumer, reply)
+        elif body or state.reply_ended:
+            reply = ReplyBody(state.exchange, body, state.reply_ended)
+            self.tell(self.consumer, reply)
+        if state.uncredited_bytes >= WINDOW_BYTES:
+            self.pause_reading(number)
+        self._finish(number, state)
+
+    def _tell_interim(self, state, head):
+        if head.status not in (100, 101):
+            self.tell(self.consumer, ReplyInterim(state.exchange, head))
+
+    def take_credit(self, credit):
+        """Read on once the consumer took earlier bytes."""
+        number = self.exchanges.get(credit.exchange)
+        if number is None:
+            return
+        state = self.states[number]
+        state.uncredited_bytes = max(0, state.uncredited_bytes - credit.size_bytes)
+        if state.uncredited_bytes < WINDOW_BYTES:
+            self.resume_reading(number)
+
+    def _finish(self, number, state):
+        """Pool or close the connection after a complete exchange."""
+        if not state.reply_ended or state.exchange is None:
+            return
+        complete = state.request_ended and not self.unsent_bytes(number)
+        self.exchanges.pop(state.exchange, None)
+        state.exchange = None
+        state.last_used = self.clock()
+        state.uncredited_bytes = 0
+        pool = self.idle[state.place]
+        if not state.keep_alive or not complete or len(pool) >= MAX_IDLE_CONNECTIONS:
+            self.abort(number)
+            return
+        self.resume_reading(number)
+        pool.append(number)
+
+    # Timeouts ------------------------------------------------------------
+
+    def sweep(self, tick):
+        """End connects that take too long and connections unused too long."""
+        for number, state in list(self.states.items()):
+            if not state.up and tick.now_s - state.opened > self.connect_timeout_s:
+                self._fail(number, state, "the connect timed out")
+            elif state.exchange is None:
+                if tick.now_s - state.last_used > self.idle_timeout_s:
+                    self.abort(number)
--- /dev/null
+++ b/comfreyusher/http/_parse.py
@@ -0,0 +1,254 @@
+"""Strict parsing of requests and replies with llhttp's binding.
+
+llhttp refuses bare LF, obsolete folding, control bytes, two lengths, repeated
+or signed ``Content-Length`` and unknown transfer codings. This module adds the
+limits and the checks that llhttp leaves to its user.
+"""
+
+import dataclasses
+
+import httptools
+
+from comfreyusher.http._errors import HttpError
+from comfreyusher.messages import AnswerHead, RequestHead
+
+METHODS_WITHOUT_REPLY_BODY = ("HEAD",)
+STATUSES_WITHOUT_BODY = (204, 304)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """A complete head; ``keep_alive`` is the sender's wish."""
+
+    head: object
+    keep_alive: bool
+    expects_continue: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Body:
+    """Body bytes with transfer coding removed."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The message is complete."""
+
+
+class RequestParser:
+    """Collects the events of a caller's connection, pipelined ones too."""
+
+    def __init__(self, max_head_bytes, max_body_bytes):
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.parser = httptools.HttpRequestParser(self)
+        self.events = []
+        self.start_message()
+
+    def start_message(self):
+        """Reset what is known of the current message."""
+        self.url = b""
+        self.headers = []
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.in_head = True
+
+    def feed(self, data):
+        """Return the events found in ``data``.
+
+        Raises ``HttpError`` for a request that must be refused. Events before
+        the fault are kept in ``self.events``.
+        """
+        if self.in_head:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise HttpError(501, "this method or upgrade is not supported") from error
+        except httptools.HttpParserCallbackError as error:
+            raise _cause_of(error) from error
+        except httptools.HttpParserError as error:
+            raise HttpError(400, f"malformed request: {error}") from error
+        if self.in_head and self.head_bytes > self.max_head_bytes:
+            raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
+        return self.take()
+
+    def take(self):
+        """Return and forget the events so far."""
+        events, self.events = self.events, []
+        return events
+
+    # Callbacks of httptools ----------------------------------------------
+
+    def on_message_begin(self):
+        self.start_message()
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, value):
+        if self.in_head:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self):
+        self.in_head = False
+        size = sum(len(name) + len(value) for name, value in self.headers)
+        if size + len(self.url) > self.max_head_bytes:
+            raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
+        self.events.append(self._build_head())
+
+    def on_body(self, data):
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body_bytes:
+            raise HttpError(413, f"body is over {self.max_body_bytes} bytes")
+        self.events.append(Body(data))
+
+    def on_message_complete(self):
+        self.in_head = True
+        self.head_bytes = 0
+        self.events.append(End())
+
+    def _build_head(self):
+        version = self.parser.get_http_version()
+        if version not in ("1.0", "1.1"):
+            raise HttpError(505, f"HTTP version {version} is not supported")
+        found = {}
+        for name, value in self.headers:
+            found.setdefault(name.lower(), []).append(value)
+        _check_host(found, version)
+        self._check_length(found, version)
+        _check_target(self.url)
+        expects = _check_expect(found, version)
+        head = RequestHead(
+            self.parser.get_method().decode("ascii"),
+            self.url.decode("ascii"),
+            tuple(self.headers),
+            version,
+        )
+        return Head(head, self.parser.should_keep_alive(), expects)
+
+    def _check_length(self, found, version):
+        codings = found.get(b"transfer-encoding", [])
+        if not codings:
+            lengths = found.get(b"content-length", [b"0"])
+            if int(lengths[0]) > self.max_body_bytes:
+                raise HttpError(413, f"body is over {self.max_body_bytes} bytes")
+            return
+        if version == "1.0":
+            raise HttpError(400, "Transfer-Encoding is not part of HTTP/1.0")
+        if len(codings) != 1 or codings[0].strip().lower() != b"chunked":
+            raise HttpError(501, "the only known transfer coding is chunked")
+
+
+class ReplyParser:
+    """Parses the replies of one upstream connection, one request at a time."""
+
+    def __init__(self):
+        self.events = []
+        self.expect_reply("GET")
+
+    def expect_reply(self, method):
+        """Prepare for the reply to a request with this method."""
+        self.parser = httptools.HttpResponseParser(self)
+        self.without_body = method in METHODS_WITHOUT_REPLY_BODY
+        self.headers = []
+        self.reason = b""
+        self.in_head = True
+        self.ended = False
+        self.until_close = False
+        self.seen = False
+
+    def feed(self, data):
+        """Return the events found; raise ``HttpError`` for a malformed reply."""
+        if self.ended:
+            raise HttpError(502, "bytes after the end of a reply")
+        self.seen = True
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise HttpError(502, "the reply switches protocols") from error
+        except httptools.HttpParserError as error:
+            raise HttpError(502, f"malformed reply: {error}") from error
+        return self._take()
+
+    def feed_end(self):
+        """Return the last events when the server closed its side."""
+        if self.until_close and not self.in_head and not self.ended:
+            self.ended = True
+            return [End()]
+        return []
+
+    def _take(self):
+        events, self.events = self.events, []
+        return events
+
+    # Callbacks of httptools ----------------------------------------------
+
+    def on_status(self, reason):
+        self.reason += reason
+
+    def on_header(self, name, value):
+        if self.in_head:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self):
+        status = self.parser.get_status_code()
+        head = AnswerHead(status, tuple(self.headers), self.reason.decode("latin-1"))
+        keep_alive = self.parser.should_keep_alive()
+        self.events.append(Head(head, keep_alive))
+        if 100 <= status < 200:
+            return
+        self.in_head = False
+        if self.without_body or status in STATUSES_WITHOUT_BODY:
+            self.ended = True
+            self.events.append(End())
+            return
+        names = {name.lower() for name, _ in self.headers}
+        framed = names & {b"content-length", b"transfer-encoding"}
+        self.until_close = not framed
+
+    def on_body(self, data):
+        if not self.ended:
+            self.events.append(Body(data))
+
+    def on_message_complete(self):
+        if self.in_head:
+            self.headers = []
+            self.reason = b""
+            return
+        if not self.ended:
+            self.ended = True
+            self.events.append(End())
+
+
+def _cause_of(error):
+    cause = error.__context__
+    if isinstance(cause, HttpError):
+        return cause
+    return HttpError(400, "malformed request")
+
+
+def _check_host(found, version):
+    hosts = found.get(b"host", [])
+    if len(hosts) > 1:
+        raise HttpError(400, "more than one Host header")
+    if not hosts and version == "1.1":
+        raise HttpError(400, "Host header is missing")
+
+
+def _check_target(url):
+    if any(byte <= 0x20 or byte >= 0x7F for byte in url):
+        raise HttpError(400, "request target holds a character that must be encoded")
+    if not url.startswith((b"/", b"http://", b"https://")) and url != b"*":
+        raise HttpError(400, "request target is not a path")
+
+
+def _check_expect(found, version):
+    expectations = found.get(b"expect", [])
+    if not expectations or version == "1.0":
+        return False
+    if [value.strip().lower() for value in expectations] != [b"100-continue"]:
+        raise HttpError(417, "the only known expectation is 100-continue")
+    return True
--- /dev/null
+++ b/comfreyusher/membership/_decide.py
@@ -0,0 +1,376 @@
+"""Decisions of the membership protocol, after SWIM (Das et al., 2002).
+
+Each period a node pings one member. Without an answer it asks others to ping,
+so that a one-way cut between two nodes kills neither. A member that nobody
+reached is suspect and, unless it refutes that in time, dead.
+"""
+
+import dataclasses
+import math
+
+from comfreyusher.flow import Step, stopped
+from comfreyusher.membership._state import (
+    GossipKind,
+    GossipMessage,
+    MemberStanding,
+    Probe,
+    Relay,
+    SendGossip,
+)
+
+FAILED = (MemberStanding.DEAD,)
+MEMBERS_PER_MESSAGE = 8
+MEMBERS_PER_PAGE = 16
+BURIED_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipSettings:
+    """Timing of the protocol."""
+
+    period_s: float = 1.0
+    ack_timeout_s: float = 0.4
+    suspicion_s: float = 3.0
+    indirect_probes: int = 3
+    spread_factor: float = 3.0
+    page_periods: int = 5
+
+
+def join(state, places):
+    """Greet the places that the platform's list shows, as ``(host, port)``."""
+    sends = tuple(
+        _send(state, host, port, GossipKind.JOIN, members=(state.own,))
+        for host, port in places
+    )
+    return stopped(state, None, *sends)
+
+
+def begin_leaving(state, settings):
+    """Tell members at once that this node takes no new work."""
+    own = dataclasses.replace(
+        state.own, standing=MemberStanding.LEAVING, version=state.own.version + 1
+    )
+    state = _spread(dataclasses.replace(state, own=own), own, settings)
+    sends = tuple(
+        _send_to(state, record, GossipKind.PAGE, members=(own,))
+        for record in _others(state)
+    )
+    return stopped(state, None, *sends)
+
+
+def hear(state, message, now, settings):
+    """Take one datagram."""
+    for record in message.members:
+        state = _merge(state, record, now, settings)
+    handlers = {
+        GossipKind.PING: _hear_ping,
+        GossipKind.ACK: _hear_ack,
+        GossipKind.PING_REQUEST: _hear_ping_request,
+        GossipKind.JOIN: _hear_join,
+    }
+    handle = handlers.get(message.kind)
+    if handle is None:
+        return stopped(state, None)
+    return handle(state, message, now, settings)
+
+
+def run_period(state, now, settings, shuffle):
+    """Advance time: time out probes and suspicions, start the next ping.
+
+    It is called several times a period. ``shuffle`` returns a shuffled tuple.
+    """
+    state = _expire(state, now, settings)
+    probe = state.probe
+    if probe is None:
+        return _start_probe(state, now, settings, shuffle)
+    age_s = now - probe.sent_s
+    if age_s >= settings.period_s:
+        state = _suspect(state, probe.node, now, settings)
+        state = dataclasses.replace(state, probe=None)
+        return _start_probe(state, now, settings, shuffle)
+    if age_s >= settings.ack_timeout_s and not probe.indirect and probe.node:
+        return _ask_others(state, probe, settings, shuffle)
+    return stopped(state, None)
+
+
+# Hearing -----------------------------------------------------------------------
+
+
+def _hear_ping(state, message, now, settings):
+    sender = state.members.get(_name_of(message.sender))
+    if sender is None:
+        return stopped(state, None)
+    step = _with_news(state, settings)
+    reply = _send_to(
+        step.state,
+        sender,
+        GossipKind.ACK,
+        message.sequence,
+        message.target,
+        step.item,
+    )
+    return stopped(step.state, None, reply)
+
+
+def _hear_ack(state, message, now, settings):
+    probe = state.probe
+    if probe is not None and probe.sequence == message.sequence and probe.node:
+        answered = dataclasses.replace(probe, node="")
+        return stopped(dataclasses.replace(state, probe=answered), None)
+    relay = state.relays.get(message.sequence)
+    if relay is None:
+        return stopped(state, None)
+    state = dataclasses.replace(state, relays=state.relays.delete(message.sequence))
+    asker = state.members.get(_name_of(relay.asker))
+    if asker is None:
+        return stopped(state, None)
+    reply = _send_to(state, asker, GossipKind.ACK, relay.asker_sequence)
+    return stopped(state, None, reply)
+
+
+def _hear_ping_request(state, message, now, settings):
+    target = state.members.get(message.target)
+    if target is None:
+        return stopped(state, None)
+    sequence = state.sequence + 1
+    relay = Relay(message.sender, message.sequence, now)
+    state = dataclasses.replace(
+        state, sequence=sequence, relays=state.relays.set(sequence, relay)
+    )
+    ping = _send_to(state, target, GossipKind.PING, sequence)
+    return stopped(state, None, ping)
+
+
+def _hear_join(state, message, now, settings):
+    """Answer a fresh node with all members, a page a datagram."""
+    sender = state.members.get(_name_of(message.sender))
+    if sender is None:
+        return stopped(state, None)
+    records = sorted(state.members.values(), key=lambda record: record.name)
+    pages = tuple(
+        _send_to(
+            state,
+            sender,
+            GossipKind.PAGE,
+            members=tuple(records[start : start + MEMBERS_PER_PAGE]),
+        )
+        for start in range(0, len(records), MEMBERS_PER_PAGE)
+    )
+    return stopped(state, None, *pages)
+
+
+def _merge(state, record, now, settings):
+    """Return the state after one record was heard."""
+    if record.name == state.own.name:
+        return _defend(state, record, settings)
+    buried = state.buried.get(record.name)
+    if buried is not None and _rank(record) <= buried[0]:
+        return state
+    known = state.members.get(record.name)
+    if known is not None and _rank(record) <= _rank(known):
+        return _take_offset(state, known, record)
+    if known is None and record.standing is MemberStanding.DEAD:
+        return state
+    state = _spread(state, record, settings)
+    return _set_suspicion(state, record, now, settings)
+
+
+def _defend(state, record, settings):
+    """Refute what is false about this node itself."""
+    own = state.own
+    if record.incarnation != own.incarnation:
+        return state
+    if _rank(record) <= _rank(own):
+        return state
+    version = max(own.version, record.version) + 1
+    own = dataclasses.replace(own, version=version)
+    return _spread(dataclasses.replace(state, own=own), own, settings)
+
+
+def _take_offset(state, known, record):
+    if record.node != known.node or record.offset <= known.offset:
+        return state
+    known = dataclasses.replace(known, offset=record.offset)
+    return dataclasses.replace(state, members=state.members.set(known.name, known))
+
+
+def _set_suspicion(state, record, now, settings):
+    suspected = state.suspected
+    if record.standing is MemberStanding.SUSPECT:
+        suspected = suspected.set(record.name, now + settings.suspicion_s)
+    elif record.name in suspected:
+        suspected = suspected.delete(record.name)
+    state = dataclasses.replace(state, suspected=suspected)
+    if record.standing is MemberStanding.DEAD:
+        return _bury(state, record, now)
+    return state
+
+
+def _rank(record):
+    """Order of records of one name: incarnation, version, standing."""
+    return (record.incarnation, record.version, int(record.standing))
+
+
+def _spread(state, record, settings):
+    """Keep a record and send it on a number of times that fits the fleet."""
+    members = state.members.set(record.name, record)
+    times = math.ceil(settings.spread_factor * math.log2(len(members) + 1))
+    return dataclasses.replace(
+        state, members=members, news=state.news.set(record.name, max(1, times))
+    )
+
+
+# Periods -------------------------------------------------------------------------
+
+
+def _start_probe(state, now, settings, shuffle):
+    if not state.order:
+        others = tuple(record.name for record in _others(state))
+        state = dataclasses.replace(state, order=shuffle(others))
+    if not state.order:
+        return stopped(state, None)
+    name, order = state.order[0], state.order[1:]
+    sequence = state.sequence + 1
+    probe = Probe(name, sequence, now)
+    state = dataclasses.replace(
+        state,
+        order=order,
+        sequence=sequence,
+        probe=probe,
+        periods=state.periods + 1,
+    )
+    target = state.members.get(name)
+    if target is None:
+        return stopped(dataclasses.replace(state, probe=None), None)
+    step = _with_news(state, settings)
+    ping = _send_to(step.state, target, GossipKind.PING, sequence, "", step.item)
+    page = _share_page(step.state, target, settings)
+    return stopped(page.state, None, ping, *page.messages)
+
+
+def _share_page(state, target, settings):
+    """Now and then send a page of members, which heals what gossip missed."""
+    if state.periods % settings.page_periods:
+        return stopped(state, None)
+    records = sorted(state.members.values(), key=lambda record: record.name)
+    start = state.page * MEMBERS_PER_PAGE
+    chunk = tuple(records[start : start + MEMBERS_PER_PAGE])
+    following = state.page + 1
+    page = following if following * MEMBERS_PER_PAGE < len(records) else 0
+    state = dataclasses.replace(state, page=page)
+    send = _send_to(state, target, GossipKind.PAGE, members=chunk)
+    return stopped(state, None, send)
+
+
+def _ask_others(state, probe, settings, shuffle):
+    names = tuple(
+        record.name for record in _others(state) if record.name != probe.node
+    )
+    helpers = shuffle(names)[: settings.indirect_probes]
+    sends = tuple(
+        _send_to(
+            state,
+            state.members[name],
+            GossipKind.PING_REQUEST,
+            probe.sequence,
+            probe.node,
+        )
+        for name in helpers
+    )
+    asked = dataclasses.replace(probe, indirect=True)
+    return stopped(dataclasses.replace(state, probe=asked), None, *sends)
+
+
+def _suspect(state, name, now, settings):
+    record = state.members.get(name)
+    if record is None or record.standing is not MemberStanding.ALIVE:
+        return _count_leaver_dead(state, record, now, settings)
+    suspect = dataclasses.replace(record, standing=MemberStanding.SUSPECT)
+    state = _spread(state, suspect, settings)
+    return _set_suspicion(state, suspect, now, settings)
+
+
+def _count_leaver_dead(state, record, now, settings):
+    """A leaving member that stopped to answer has gone."""
+    if record is None or record.standing is not MemberStanding.LEAVING:
+        return state
+    dead = dataclasses.replace(record, standing=MemberStanding.DEAD)
+    return _bury(_spread(state, dead, settings), dead, now)
+
+
+def _expire(state, now, settings):
+    """Declare overdue suspects dead and forget old relays and burials."""
+    for name, due_s in state.suspected.items():
+        record = state.members.get(name)
+        if now < due_s or record is None:
+            continue
+        dead = dataclasses.replace(record, standing=MemberStanding.DEAD)
+        state = _spread(state, dead, settings)
+        state = _set_suspicion(state, dead, now, settings)
+    for sequence, relay in state.relays.items():
+        if now - relay.sent_s > settings.period_s:
+            relays = state.relays.delete(sequence)
+            state = dataclasses.replace(state, relays=relays)
+    for name, (_, since_s) in state.buried.items():
+        if now - since_s > BURIED_S:
+            state = _unbury(state, name)
+    return state
+
+
+def _bury(state, record, now):
+    """Remember a dead member, so that old news does not revive it."""
+    buried = state.buried.set(record.name, (_rank(record), now))
+    suspected = state.suspected
+    if record.name in suspected:
+        suspected = suspected.delete(record.name)
+    return dataclasses.replace(state, buried=buried, suspected=suspected)
+
+
+def _unbury(state, name):
+    members = state.members
+    record = members.get(name)
+    if record is not None and record.standing is MemberStanding.DEAD:
+        members = members.delete(name)
+    return dataclasses.replace(
+        state, members=members, buried=state.buried.delete(name)
+    )
+
+
+# Sending -------------------------------------------------------------------------
+
+
+def _with_news(state, settings):
+    """Take the records that were sent least often."""
+    chosen = sorted(state.news.items(), key=lambda item: -item[1])
+    records = ()
+    news = state.news
+    for name, left in chosen[:MEMBERS_PER_MESSAGE]:
+        records += (state.members[name],) if name in state.members else ()
+        news = news.set(name, left - 1) if left > 1 else news.delete(name)
+    return Step(dataclasses.replace(state, news=news), records)
+
+
+def _others(state):
+    return [
+        record
+        for name, record in sorted(state.members.items())
+        if name != state.own.name and record.standing is not MemberStanding.DEAD
+    ]
+
+
+def _send_to(state, record, kind, sequence=0, target="", members=()):
+    return _send(
+        state, record.host, record.gossip_port, kind, sequence, target, members
+    )
+
+
+def _send(state, host, port, kind, sequence=0, target="", members=()):
+    own = state.own
+    if own not in members and kind is not GossipKind.PAGE:
+        members = (own, *members)
+    message = GossipMessage(own.node, kind, sequence, target, members, own.offset)
+    return SendGossip(host, port, message)
+
+
+def _name_of(node):
+    return node.rpartition(".")[0]
--- /dev/null
+++ b/comfreyusher/membership/_task.py
@@ -0,0 +1,153 @@
+"""The task that owns the gossip socket and the membership state."""
+
+import dataclasses
+import random
+
+from absl import logging
+
+from comfreyusher.flow import DatagramTask, Subscribe, Tick
+from comfreyusher.membership._codec import decode_gossip, encode_gossip
+from comfreyusher.membership._decide import begin_leaving, hear, join, run_period
+from comfreyusher.membership._state import (
+    MemberStanding,
+    live_members,
+    new_state,
+)
+from comfreyusher.messages import OffsetHeard
+from comfreyusher.peering import CodecError
+from comfreyusher.peering._handshake import open_datagram, tag_datagram
+
+CHANNEL = "membership"
+TICKS_PER_PERIOD = 5
+LOG = "membership:"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The live members, sorted by name, after a change."""
+
+    members: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeedsListed:
+    """Places of nodes on the platform's list, as ``(host, port)``."""
+
+    places: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveFleet:
+    """This node shuts down; tell the others."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OffsetReached:
+    """This node has applied the configuration up to an offset."""
+
+    offset: int
+
+
+class MembershipTask(DatagramTask):
+    """Runs the membership protocol and tells the node about changes."""
+
+    def __init__(self, own, settings, keys, poller, host, port, seed, **kwargs):
+        super().__init__(CHANNEL, poller, host, port, **kwargs)
+        self.settings = settings
+        self.keys = keys
+        self.state = new_state(own)
+        self.random = random.Random(seed)
+        self.view = ()
+        self.places = ()
+        self.sent_bytes = 0
+        self.dropped = 0
+        self.routes = {
+            Tick: self.run_period,
+            SeedsListed: self.take_seeds,
+            LeaveFleet: self.leave,
+            OffsetReached: self.take_offset,
+        }
+
+    def prepare(self):
+        """Subscribe to the protocol's ticks."""
+        period_s = self.settings.period_s / TICKS_PER_PERIOD
+        self.tell("timers", Subscribe(CHANNEL, "period", period_s))
+        self._publish_view()
+
+    def take_seeds(self, listed):
+        """Greet listed places while this node knows nobody else."""
+        self.places = listed.places
+        if len(live_members(self.state)) <= 1 or self.state.periods % 30 == 0:
+            self._run(join(self.state, self._choose_seeds()))
+
+    def _choose_seeds(self):
+        places = list(self.places)
+        self.random.shuffle(places)
+        return places[:3]
+
+    def leave(self, _):
+        """Spread that this node is leaving."""
+        self._run(begin_leaving(self.state, self.settings))
+
+    def take_offset(self, reached):
+        """Carry the configuration offset in later messages."""
+        own = dataclasses.replace(self.state.own, offset=reached.offset)
+        members = self.state.members.set(own.name, own)
+        self.state = dataclasses.replace(self.state, own=own, members=members)
+
+    def run_period(self, tick):
+        """Advance the protocol."""
+        self._run(run_period(self.state, tick.now_s, self.settings, self.shuffle))
+
+    def shuffle(self, names):
+        """Return the names in random order."""
+        mixed = list(names)
+        self.random.shuffle(mixed)
+        return tuple(mixed)
+
+    def on_datagram(self, data, host, port):
+        payload = open_datagram(self.keys(), data)
+        if payload is None:
+            self.dropped += 1
+            return
+        try:
+            message = decode_gossip(payload)
+        except CodecError:
+            self.dropped += 1
+            return
+        self._run(hear(self.state, message, self.clock(), self.settings))
+        if message.offset > self.state.own.offset:
+            heard = OffsetHeard(message.sender, message.offset)
+            self.tell("configuration", heard)
+
+    def _run(self, step):
+        before = self.state.members
+        self.state = step.state
+        for send in step.messages:
+            data = tag_datagram(self.keys()[0], encode_gossip(send.message))
+            self.sent_bytes += len(data)
+            self.send(data, send.host, send.port)
+        if self.state.members is not before:
+            self._publish_view()
+
+    def _publish_view(self):
+        members = tuple(
+            dataclasses.replace(
+                record, offset=0, version=0, standing=MemberStanding.ALIVE
+            )
+            for record in live_members(self.state)
+        )
+        if members == self.view:
+            return
+        self._log_change({record.node for record in members})
+        self.view = members
+        self.tell("node", ViewChanged(members))
+
+    def _log_change(self, after):
+        before = {record.node for record in self.view}
+        for node in sorted(after - before):
+            logging.info("%s member joined node=%s", LOG, node)
+        for node in sorted(before - after):
+            record = self.state.members.get(node.rpartition(".")[0])
+            standing = record.standing if record else MemberStanding.DEAD
+            logging.info("%s member left node=%s as=%s", LOG, node, standing.name)
--- /dev/null
+++ b/comfreyusher/messages/_heads.py
@@ -0,0 +1,37 @@
+"""Heads of HTTP requests and answers.
+
+``headers`` is a tuple of ``(name, value)`` byte pairs in wire order, as the
+HTTP libraries give them. Names keep the caller's letter case.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Request line and headers; ``target`` is kept as the caller wrote it."""
+
+    method: str
+    target: str
+    headers: tuple = ()
+    version: str = "1.1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status line and headers."""
+
+    status: int
+    headers: tuple = ()
+    reason: str = ""
+
+
+def find_header(head, name):
+    """Return the first value of a header as text, or ``None``.
+
+    ``name`` is lower-case bytes.
+    """
+    for header, value in head.headers:
+        if header.lower() == name:
+            return value.decode("latin-1").strip()
+    return None
--- /dev/null
+++ b/comfreyusher/operators/_reports.py
@@ -0,0 +1,146 @@
+"""Documents that the operators' address answers with."""
+
+import dataclasses
+import typing
+
+from comfreyusher.health import floor_slots
+from comfreyusher.health import Standing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultReport:
+    """Why a request was refused; one line a fault."""
+
+    faults: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberReport:
+    """One node of the fleet."""
+
+    node: str
+    data_centre: str
+    region: str
+    standing: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """One upstream as its owner sees it."""
+
+    name: str
+    standing: str
+    in_flight: int
+    slots: int
+    evidence: float
+    unreachable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupReport:
+    """A group that the node owns."""
+
+    name: str
+    queued: int
+    floor_slots: int
+    healthy_slots: int
+    ejections: int
+    refusals: int
+    upstreams: tuple[UpstreamReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusReport:
+    """State of a node."""
+
+    node: str
+    data_centre: str
+    region: str
+    phase: str
+    ready: bool
+    offset: int
+    requests_in_flight: int
+    members: tuple[MemberReport, ...]
+    groups: tuple[GroupReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeclarationReport:
+    """A declaration in force."""
+
+    kind: str
+    name: str
+    revision: int
+    author: str
+    offset: int
+    body: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceReport:
+    """Nodes of a data centre that confirmed a publication."""
+
+    data_centre: str
+    confirmed: int
+    nodes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublicationReport:
+    """State of a publication."""
+
+    publish_id: str
+    key: str
+    state: str
+    revision: int
+    offset: int
+    reason: str
+    in_force: tuple[InForceReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueryReport:
+    """State of a query, with its lines once it has ended."""
+
+    query_id: str
+    state: str
+    offset: int = 0
+    last: int = 0
+    complete: bool = False
+    error: str = ""
+    lines: tuple[typing.Any, ...] = ()
+
+
+def report_groups(owned):
+    """Return the reports of the groups that a node owns."""
+    groups = owned.groups if owned is not None else ()
+    return tuple(_report_group(group) for group in groups)
+
+
+def _report_group(group):
+    upstreams = tuple(
+        UpstreamReport(
+            upstream.name,
+            upstream.health.standing.value,
+            upstream.in_flight,
+            upstream.slots,
+            round(upstream.health.evidence, 2),
+            upstream.health.unreachable,
+        )
+        for upstream in sorted(group.upstreams.values(), key=lambda u: u.name)
+    )
+    healthy = sum(
+        upstream.slots
+        for upstream in group.upstreams.values()
+        if upstream.health.standing is Standing.HEALTHY
+    )
+    plan = group.plan
+    return GroupReport(
+        plan.group,
+        len(group.short_queue) + len(group.long_queue),
+        floor_slots(plan.profile, plan.configured_slots),
+        healthy,
+        group.ejected_total,
+        group.refused_total,
+        upstreams,
+    )
--- /dev/null
+++ b/comfreyusher/opinions/__init__.py
@@ -0,0 +1,5 @@
+"""Second opinions on whether an upstream can be reached."""
+
+from comfreyusher.opinions._task import OpinionTask
+
+__all__ = ["OpinionTask"]
--- /dev/null
+++ b/comfreyusher/owner/_admit.py
@@ -0,0 +1,60 @@
+"""Admission: refuse at the door what cannot be answered in its deadline."""
+
+import dataclasses
+
+from comfreyusher.messages import WorkClass
+from comfreyusher.owner._choose import usable_total
+from comfreyusher.owner._queue import queue_of
+
+DEFAULT_SERVICE_S = 0.05
+MIN_RETRY_AFTER_MS = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Expected wait in the queue and time of service, in seconds."""
+
+    wait_s: float
+    service_s: float
+
+
+def estimate_wait(group, work, now):
+    """Return the expected wait for work that joins its queue now."""
+    work_class = work.offer.work_class
+    mean_s = group.long_mean_s if group.is_long(work) else group.short_mean_s
+    mean_s = mean_s or DEFAULT_SERVICE_S
+    ahead = _count_ahead(group, work)
+    slots = usable_total(group, work_class, now)
+    if not slots:
+        return Estimate(float("inf"), mean_s)
+    busy = _count_busy(group, work_class)
+    waiting = max(0, ahead + 1 - max(0, slots - busy))
+    return Estimate(waiting * mean_s / slots, mean_s)
+
+
+def is_too_late(group, work, estimate, now):
+    """Tell whether the work would wait too long to be worth queueing."""
+    remaining_s = work.deadline_s - now
+    if estimate.wait_s > group.plan.profile.max_wait_ms / 1000:
+        return True
+    if estimate.wait_s <= 0:
+        return remaining_s <= 0
+    return estimate.wait_s + estimate.service_s > remaining_s
+
+
+def retry_after_ms(estimate):
+    """Return when a retry has a chance, in milliseconds."""
+    if estimate.wait_s == float("inf"):
+        return 1000
+    return max(MIN_RETRY_AFTER_MS, int(estimate.wait_s * 1000))
+
+
+def _count_ahead(group, work):
+    queue = queue_of(group, work.offer.work_class)
+    return sum(1 for place in queue if place.deadline_s <= work.deadline_s)
+
+
+def _count_busy(group, work_class):
+    if work_class is WorkClass.LONG:
+        return sum(up.long_in_flight for up in group.upstreams.values())
+    return sum(up.in_flight for up in group.upstreams.values())
--- /dev/null
+++ b/comfreyusher/owner/_choose.py
@@ -0,0 +1,87 @@
+"""Choice of the upstream for the next piece of work."""
+
+import math
+
+from comfreyusher.health import BAD_WEIGHT, Standing, usable_slots
+from comfreyusher.messages import WorkClass
+
+
+def choose_upstream(group, work, now):
+    """Return the best upstream with a free slot for the work, or ``None``."""
+    free = [
+        upstream
+        for upstream in group.upstreams.values()
+        if may_run(group, upstream, work, now)
+    ]
+    if not free:
+        return None
+    return min(free, key=lambda upstream: _rank(upstream, work))
+
+
+def may_run(group, upstream, work, now):
+    """Tell whether an upstream has a free slot for this work."""
+    slots = free_limit(group, upstream, now)
+    if upstream.in_flight >= slots or upstream.name in work.tried:
+        return False
+    if upstream.health.standing is Standing.PROBATION:
+        if not work.offer.idempotent or group.is_long(work):
+            return False
+    if is_suspect(group, work) and runs_suspect(group, upstream):
+        return False
+    if group.is_long(work):
+        return upstream.long_in_flight < long_limit(group, upstream)
+    return True
+
+
+def free_limit(group, upstream, now):
+    """Return how many requests an upstream may run at once now."""
+    slow_start_s = group.plan.profile.slow_start_ms / 1000
+    slots = usable_slots(upstream.slots, upstream.health, slow_start_s, now)
+    return min(slots, upstream.shed_limit)
+
+
+def long_limit(group, upstream):
+    """Return how many long requests an upstream may run at once.
+
+    Without any short work in the profile's routes, the reserve is still kept,
+    since short work may come at any moment.
+    """
+    reserved = group.plan.profile.short_reserved_share * upstream.slots
+    return max(1, upstream.slots - math.ceil(reserved))
+
+
+def is_suspect(group, work):
+    """Tell whether this request was in flight on an upstream that crashed."""
+    return work.offer.fingerprint in group.suspicions
+
+
+def runs_suspect(group, upstream):
+    """Tell whether an upstream runs a suspect request now.
+
+    Suspects run apart, so that the next crash tells which one is to blame.
+    """
+    return any(
+        work.upstream == upstream.name and is_suspect(group, work)
+        for work in group.works.values()
+    )
+
+
+def usable_total(group, work_class, now):
+    """Return the slots that a class of work can use in the group now."""
+    total = 0
+    for upstream in group.upstreams.values():
+        slots = free_limit(group, upstream, now)
+        if work_class is WorkClass.LONG:
+            slots = min(slots, long_limit(group, upstream))
+        total += slots
+    return total
+
+
+def _rank(upstream, work):
+    """Order: probation due, little evidence, low load, least recently used."""
+    suspicion = int(upstream.health.evidence / BAD_WEIGHT)
+    load = upstream.in_flight / upstream.slots
+    first = upstream.health.standing is not Standing.PROBATION
+    if upstream.health.standing is Standing.PROBATION:
+        suspicion = 0
+    return (first, suspicion, load, upstream.last_pick)
--- /dev/null
+++ b/comfreyusher/peering/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/comfreyusher/platform/__init__.py
@@ -0,0 +1,27 @@
+"""Clients of the platform's service: its log and its list of VMs."""
+
+from comfreyusher.platform._calls import (
+    Append,
+    AppendFailed,
+    Appended,
+    ListRead,
+    LogRecord,
+    Read,
+    ReadFailed,
+    RecordsRead,
+    Vm,
+)
+from comfreyusher.platform._task import PlatformTask
+
+__all__ = [
+    "Append",
+    "AppendFailed",
+    "Appended",
+    "ListRead",
+    "LogRecord",
+    "PlatformTask",
+    "Read",
+    "ReadFailed",
+    "RecordsRead",
+    "Vm",
+]
--- /dev/null
+++ b/comfreyusher/settings/__init__.py
@@ -0,0 +1,36 @@
+"""Settings of a node: JSON with comments, checked, passed on whole."""
+
+from comfreyusher.settings._example import EXAMPLE
+from comfreyusher.settings._load import load_settings
+from comfreyusher.settings._model import (
+    CallerSettings,
+    NodeSettings,
+    OperatorSettings,
+    PeerSettings,
+    PlatformSettings,
+    SecretRef,
+    Settings,
+    ShutdownSettings,
+    TelemetrySettings,
+    TlsMode,
+    TlsSettings,
+)
+from comfreyusher.settings._secrets import SecretError, SecretKeys
+
+__all__ = [
+    "EXAMPLE",
+    "CallerSettings",
+    "NodeSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "SecretError",
+    "SecretKeys",
+    "SecretRef",
+    "Settings",
+    "ShutdownSettings",
+    "TelemetrySettings",
+    "TlsMode",
+    "TlsSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/comfreyusher/telemetry/__init__.py
@@ -0,0 +1,21 @@
+"""Metrics, traces and logs."""
+
+from comfreyusher.telemetry._messages import HopEnded, RequestMeasured, UpstreamEjected
+from comfreyusher.telemetry._trace import (
+    TraceContext,
+    derive_context,
+    format_context,
+    parse_context,
+    start_context,
+)
+
+__all__ = [
+    "HopEnded",
+    "RequestMeasured",
+    "TraceContext",
+    "UpstreamEjected",
+    "derive_context",
+    "format_context",
+    "parse_context",
+    "start_context",
+]
