--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The door to the project: every task is a target here.
+
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/installed
+
+.PHONY: install demo fleet test check format bench mutants capacity binary clean
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $(STAMP)
+
+demo: install
+	$(PYTHON) -m extras.demo
+
+fleet: install
+	$(PYTHON) -m extras.demo --stay
+
+check: install
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: install
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+test: install
+	$(PYTHON) -m tests.run
+
+clean:
+	rm -rf $(VENV) build dist
--- a/comfreyusher/accounts/_carry.py
+++ b/comfreyusher/accounts/_carry.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.platform import Append, Read
 
 CARRY_SHARE = 0.5
@@ -39,7 +39,7 @@
     if carrier.reading or carrier.waiting:
         return stopped(carrier, None)
     read = Read(CHANNEL, STREAM, carrier.after, 0, RECORDS_PER_READ)
-    carrier = dataclasses.replace(carrier, reading=True)
+    carrier = change(carrier, reading=True)
     return stopped(carrier, None, Address("platform", read))
 
 
@@ -47,7 +47,7 @@
     """Append again what is older than half of the retention."""
     limit_ms = page.now_ms - page.retention_ms * CARRY_SHARE
     due = tuple(r for r in page.records if r.time_ms < limit_ms)
-    carrier = dataclasses.replace(carrier, reading=False, waiting=due)
+    carrier = change(carrier, reading=False, waiting=due)
     return _carry_first(carrier)
 
 
@@ -55,7 +55,7 @@
     """Go on with the next record."""
     if not carrier.waiting or carrier.waiting[0].offset != token.offset:
         return stopped(carrier, None)
-    carrier = dataclasses.replace(
+    carrier = change(
         carrier,
         after=token.offset,
         waiting=carrier.waiting[1:],
@@ -66,7 +66,7 @@
 
 def give_up(carrier):
     """Forget the reads and appends under way; later ticks begin again."""
-    return dataclasses.replace(carrier, reading=False, waiting=())
+    return change(carrier, reading=False, waiting=())
 
 
 def _carry_first(carrier):
--- a/comfreyusher/accounts/_copies.py
+++ b/comfreyusher/accounts/_copies.py
@@ -11,7 +11,7 @@
 
 from comfreyusher.accounts._entry import decode_entry
 from comfreyusher.accounts._record import encode_account
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.messages import CopyStored, Outcome, ToNode
 from comfreyusher.platform import Append
 
@@ -50,8 +50,8 @@
     old = [number for number in entries if number <= asked.logged]
     for number in old:
         entries = entries.delete(number)
-    held = dataclasses.replace(held, entries=entries, gone_s=0.0)
-    copies = dataclasses.replace(copies, held=copies.held.set(asked.origin, held))
+    held = change(held, entries=entries, gone_s=0.0)
+    copies = change(copies, held=copies.held.set(asked.origin, held))
     stored = CopyStored(copies.node, asked.batch)
     return stopped(copies, None, Address("peers", ToNode(asked.origin, stored)))
 
@@ -68,20 +68,20 @@
 
 def _adopt_one(copies, origin, held, live, now):
     if origin in live:
-        held = dataclasses.replace(held, gone_s=0.0)
+        held = change(held, gone_s=0.0)
         return stopped(_put(copies, origin, held), None)
     if not held.gone_s:
-        held = dataclasses.replace(held, gone_s=now)
+        held = change(held, gone_s=now)
         return stopped(_put(copies, origin, held), None)
     if held.appending or now - held.gone_s < ADOPT_AFTER_S:
         return stopped(copies, None)
     if not held.entries:
         held_map = copies.held.delete(origin)
-        return stopped(dataclasses.replace(copies, held=held_map), None)
+        return stopped(change(copies, held=held_map), None)
     entries = [_as_unknown(entry) for entry in held.entries.values()]
     entries.sort(key=lambda entry: entry.number)
     text = encode_account(origin, copies.node, entries)
-    held = dataclasses.replace(held, appending=True)
+    held = change(held, appending=True)
     append = Append("accounts", AdoptToken(origin), "accounts", text)
     return stopped(_put(copies, origin, held), None, Address("platform", append))
 
@@ -98,7 +98,7 @@
     if token.origin not in copies.held:
         return stopped(copies, None)
     held = copies.held.delete(token.origin)
-    return stopped(dataclasses.replace(copies, held=held), None)
+    return stopped(change(copies, held=held), None)
 
 
 def take_adopt_failure(copies, token):
@@ -106,15 +106,15 @@
     held = copies.held.get(token.origin)
     if held is None:
         return stopped(copies, None)
-    held = dataclasses.replace(held, appending=False)
+    held = change(held, appending=False)
     return stopped(_put(copies, token.origin, held), None)
 
 
 def _as_unknown(entry):
     if entry.outcome:
         return entry
-    return dataclasses.replace(entry, outcome=Outcome.UNKNOWN.value)
+    return change(entry, outcome=Outcome.UNKNOWN.value)
 
 
 def _put(copies, origin, held):
-    return dataclasses.replace(copies, held=copies.held.set(origin, held))
+    return change(copies, held=copies.held.set(origin, held))
--- a/comfreyusher/accounts/_entry.py
+++ b/comfreyusher/accounts/_entry.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class AccountEntry:
     """One request of a customer.
 
--- a/comfreyusher/accounts/_ledger.py
+++ b/comfreyusher/accounts/_ledger.py
@@ -10,10 +10,10 @@
 
 import immutables
 
-from comfreyusher.accounts._entry import AccountEntry, encode_entry
+from comfreyusher.accounts._entry import encode_entry
 from comfreyusher.accounts._messages import CopyConfirmed
 from comfreyusher.accounts._record import encode_account
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.messages import CopyAsked, ToNode
 from comfreyusher.platform import Append
 
@@ -33,7 +33,7 @@
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Ledger:
     """State of this node's own account entries.
 
@@ -64,8 +64,8 @@
 def begin(ledger, begun, now):
     """Number an entry and copy it."""
     number = ledger.last_number + 1
-    entry = dataclasses.replace(begun.entry, origin=ledger.origin, number=number)
-    ledger = dataclasses.replace(
+    entry = change(begun.entry, origin=ledger.origin, number=number)
+    ledger = change(
         ledger,
         last_number=number,
         open=ledger.open.set(begun.exchange, entry),
@@ -80,10 +80,10 @@
     entry = ledger.open.get(ended.exchange)
     if entry is None:
         return stopped(ledger, None)
-    entry = dataclasses.replace(
+    entry = change(
         entry, outcome=ended.outcome, status=ended.status, ended_ms=ended.ended_ms
     )
-    ledger = dataclasses.replace(
+    ledger = change(
         ledger,
         open=ledger.open.delete(ended.exchange),
         ended=ledger.ended + (entry,),
@@ -108,7 +108,7 @@
     asked = CopyAsked(
         ledger.origin, batch, ledger.logged, tuple(encode_entry(e) for e in sent)
     )
-    ledger = dataclasses.replace(
+    ledger = change(
         ledger,
         copy_batch=batch,
         copying=sent,
@@ -125,7 +125,7 @@
     if not ledger.copying or stored.batch != ledger.copy_batch:
         return stopped(ledger, None)
     step = _release(ledger, ledger.copying_waiting, copied=True)
-    ledger = dataclasses.replace(step.state, copying=(), copying_waiting=())
+    ledger = change(step.state, copying=(), copying_waiting=())
     following = send_copies(ledger, now)
     return stopped(following.state, None, *step.messages, *following.messages)
 
@@ -140,7 +140,7 @@
 def give_up_copy(ledger, now):
     """Go on without the copy that is under way."""
     step = _release(ledger, ledger.copying_waiting, copied=False)
-    ledger = dataclasses.replace(step.state, copying=(), copying_waiting=())
+    ledger = change(step.state, copying=(), copying_waiting=())
     following = send_copies(ledger, now)
     return stopped(following.state, None, *step.messages, *following.messages)
 
@@ -151,7 +151,7 @@
         return stopped(ledger, None)
     step = give_up_copy(ledger, now)
     kept = tuple(step.state.open.values()) + step.state.ended
-    ledger = dataclasses.replace(step.state, buddy=buddy, uncopied=kept)
+    ledger = change(step.state, buddy=buddy, uncopied=kept)
     return stopped(ledger, None, *step.messages)
 
 
@@ -160,7 +160,7 @@
         Address(ENTRY, CopyConfirmed(exchange, copied)) for exchange in exchanges
     )
     lost = 0 if copied else len(exchanges)
-    ledger = dataclasses.replace(
+    ledger = change(
         ledger,
         uncopied_total=ledger.uncopied_total + lost,
         waiting=() if exchanges is ledger.waiting else ledger.waiting,
@@ -177,7 +177,7 @@
         numbers = tuple(entry.number for entry in ledger.ended)
         text = encode_account(ledger.origin, ledger.origin, ledger.ended)
         batches = ledger.batches + (Batch(numbers, text),)
-        ledger = dataclasses.replace(ledger, ended=(), batches=batches)
+        ledger = change(ledger, ended=(), batches=batches)
     return append_next(ledger)
 
 
@@ -189,7 +189,7 @@
         return step
     text = encode_account(ledger.origin, ledger.origin, (), ledger.last_number)
     batches = ledger.batches + (Batch((), text),)
-    ledger = dataclasses.replace(ledger, batches=batches, closed=True)
+    ledger = change(ledger, batches=batches, closed=True)
     following = append_next(ledger)
     return stopped(following.state, None, *step.messages, *following.messages)
 
@@ -199,7 +199,7 @@
     if ledger.appending or not ledger.batches:
         return stopped(ledger, None)
     append = Append(CHANNEL, ledger.origin, STREAM, ledger.batches[0].text)
-    ledger = dataclasses.replace(ledger, appending=True)
+    ledger = change(ledger, appending=True)
     return stopped(ledger, None, Address("platform", append))
 
 
@@ -210,7 +210,7 @@
     logged = ledger.logged
     while logged + 1 in beyond:
         logged += 1
-    ledger = dataclasses.replace(
+    ledger = change(
         ledger,
         appending=False,
         batches=ledger.batches[1:],
@@ -222,7 +222,7 @@
 
 def take_append_failure(ledger):
     """Keep the batch; the next flush appends it again."""
-    return stopped(dataclasses.replace(ledger, appending=False), None)
+    return stopped(change(ledger, appending=False), None)
 
 
 def pending_entries(ledger):
@@ -234,6 +234,3 @@
 def new_ledger(origin):
     """Return the ledger of a node incarnation."""
     return Ledger(origin=origin)
-
-
-__all__ = ["AccountEntry", "Batch", "Ledger", "begin", "new_ledger"]
--- a/comfreyusher/accounts/_task.py
+++ b/comfreyusher/accounts/_task.py
@@ -8,7 +8,7 @@
 from comfreyusher.accounts._messages import Begun, Ended, FlushAccounts
 from comfreyusher.flow import Subscribe, Task, Tick
 from comfreyusher.messages import CopyAsked, CopyStored, PeerLost
-from comfreyusher.platform import AppendFailed, Appended, ReadFailed, RecordsRead
+from comfreyusher.platform import Appended, AppendFailed, ReadFailed, RecordsRead
 
 CHANNEL = "accounts"
 LOG = "accounts:"
--- a/comfreyusher/claims/_decide.py
+++ b/comfreyusher/claims/_decide.py
@@ -10,7 +10,7 @@
 import immutables
 import msgspec
 
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.messages import ClaimSettled
 from comfreyusher.platform import Append, Read
 
@@ -46,7 +46,7 @@
     asked_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class ClaimBook:
     """State of the claims as far as this node has read them."""
 
@@ -67,22 +67,18 @@
         return stopped(book, None, _settled(asked.key, asked.exchange, holding.holder))
     known = book.pending.get(asked.key)
     if known is not None:
-        known = dataclasses.replace(
-            known, exchanges=known.exchanges + (asked.exchange,)
-        )
+        known = change(known, exchanges=known.exchanges + (asked.exchange,))
         pending = book.pending.set(asked.key, known)
-        return stopped(dataclasses.replace(book, pending=pending), None)
+        return stopped(change(book, pending=pending), None)
     pending = book.pending.set(asked.key, Pending((asked.exchange,), now))
-    book = dataclasses.replace(
-        book, pending=pending, unsent=book.unsent + (asked.key,)
-    )
+    book = change(book, pending=pending, unsent=book.unsent + (asked.key,))
     return _append_next(book)
 
 
 def take_appended(book, offset):
     """Read up to the record that was appended."""
     wanted = max(book.wanted, offset)
-    book = dataclasses.replace(book, appending=False, wanted=wanted)
+    book = change(book, appending=False, wanted=wanted)
     first = _read_on(book)
     following = _append_next(first.state)
     return stopped(following.state, None, *first.messages, *following.messages)
@@ -90,7 +86,7 @@
 
 def take_append_failure(book):
     """The record may be in the log; keep reading until the names time out."""
-    book = dataclasses.replace(book, appending=False)
+    book = change(book, appending=False)
     return _append_next(book)
 
 
@@ -101,9 +97,7 @@
     for record in page.records:
         offset = max(offset, record.offset)
         holdings = _fold(holdings, record)
-    book = dataclasses.replace(
-        book, reading=False, offset=offset, holdings=holdings
-    )
+    book = change(book, reading=False, offset=offset, holdings=holdings)
     step = _settle_known(book)
     book = step.state
     if book.offset < book.wanted or (page.records and page.last > book.offset):
@@ -114,7 +108,7 @@
 
 def take_read_failure(book):
     """Read again at a later tick."""
-    return stopped(dataclasses.replace(book, reading=False), None)
+    return stopped(change(book, reading=False), None)
 
 
 def expire(book, now, oldest_ms):
@@ -131,9 +125,7 @@
     for name, holding in book.holdings.items():
         if holding.time_ms < oldest_ms:
             holdings = holdings.delete(name)
-    book = dataclasses.replace(
-        book, pending=pending, unsent=unsent, holdings=holdings
-    )
+    book = change(book, pending=pending, unsent=unsent, holdings=holdings)
     step = _read_on(book) if pending else stopped(book, None)
     return stopped(step.state, None, *messages, *step.messages)
 
@@ -162,7 +154,7 @@
         messages += tuple(
             _settled(name, exchange, holding.holder) for exchange in waiting.exchanges
         )
-    return stopped(dataclasses.replace(book, pending=pending), None, *messages)
+    return stopped(change(book, pending=pending), None, *messages)
 
 
 def _append_next(book):
@@ -171,9 +163,7 @@
         return stopped(book, None)
     names = book.unsent[:MAX_CLAIMS_PER_RECORD]
     text = msgspec.json.encode(ClaimRecord(FORMAT, book.node, names)).decode()
-    book = dataclasses.replace(
-        book, appending=True, unsent=book.unsent[len(names) :]
-    )
+    book = change(book, appending=True, unsent=book.unsent[len(names) :])
     append = Append(CHANNEL, names, STREAM, text)
     return stopped(book, None, Address("platform", append))
 
@@ -182,7 +172,7 @@
     if book.reading:
         return stopped(book, None)
     read = Read(CHANNEL, STREAM, book.offset)
-    book = dataclasses.replace(book, reading=True)
+    book = change(book, reading=True)
     return stopped(book, None, Address("platform", read))
 
 
--- a/comfreyusher/claims/_task.py
+++ b/comfreyusher/claims/_task.py
@@ -14,7 +14,7 @@
 )
 from comfreyusher.flow import Subscribe, Task, Tick
 from comfreyusher.messages import ClaimAsked
-from comfreyusher.platform import AppendFailed, Appended, ReadFailed, RecordsRead
+from comfreyusher.platform import Appended, AppendFailed, ReadFailed, RecordsRead
 
 TICK_PERIOD_S = 0.5
 HELD_MS = 24 * 3600 * 1000
--- a/comfreyusher/cli/_serve.py
+++ b/comfreyusher/cli/_serve.py
@@ -1,6 +1,7 @@
 """The command that runs a node."""
 
 import dataclasses
+import gc
 import json
 import sys
 
@@ -10,6 +11,10 @@
 from comfreyusher.settings import load_settings
 from comfreyusher.status import ExitStatus
 
+GC_YOUNG_OBJECTS = 50000
+GC_MIDDLE_ROUNDS = 20
+GC_OLD_ROUNDS = 50
+
 
 @click.command(
     epilog="\b\nExample:\n  comfreyusher serve --settings node.json",
@@ -35,14 +40,25 @@
     click.echo(json.dumps(ports))
     sys.stdout.flush()
     logging.info("node: listening callers=%d", node.callers_port)
+    tune_garbage_collector()
     node.root.run()
     return ExitStatus.SUCCESS
 
 
+def tune_garbage_collector():
+    """Keep the loaded modules out of collections, and collect less often.
+
+    Messages are freed by their reference counts; collections only look for
+    cycles, and each one delays the requests that wait.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_YOUNG_OBJECTS, GC_MIDDLE_ROUNDS, GC_OLD_ROUNDS)
+
+
 def start_logging():
     """Send logs to standard error, one line each."""
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     logging.set_stderrthreshold("info")
-
--- a/comfreyusher/configuration/__init__.py
+++ b/comfreyusher/configuration/__init__.py
@@ -1,5 +1,6 @@
 """Distribution of the configuration: log, peers, publications, restating."""
 
+from comfreyusher.configuration._publications import Publication, PublicationState
 from comfreyusher.configuration._task import (
     CatalogueChanged,
     ConfigurationTask,
@@ -7,7 +8,6 @@
     Publish,
     RolesChanged,
 )
-from comfreyusher.configuration._publications import Publication, PublicationState
 
 __all__ = [
     "CatalogueChanged",
--- a/comfreyusher/configuration/_publications.py
+++ b/comfreyusher/configuration/_publications.py
@@ -7,6 +7,8 @@
 import dataclasses
 import enum
 
+from comfreyusher.flow import change
+
 SETTLE_TIMEOUT_S = 30.0
 
 
@@ -36,12 +38,10 @@
     """Return the publication as the catalogue shows it."""
     offset = catalogue.settled.get(publication.publish_id)
     if offset is not None:
-        return dataclasses.replace(
-            publication, state=PublicationState.SETTLED, offset=offset
-        )
+        return change(publication, state=PublicationState.SETTLED, offset=offset)
     conflict = catalogue.conflicts.get(publication.publish_id)
     if conflict is not None:
-        return dataclasses.replace(
+        return change(
             publication,
             state=PublicationState.CONFLICT,
             offset=conflict.offset,
@@ -54,6 +54,4 @@
     """Return the publication after its append brought no answer."""
     if publication.state is not PublicationState.APPENDING:
         return publication
-    return dataclasses.replace(
-        publication, state=PublicationState.UNSETTLED, reason=reason
-    )
+    return change(publication, state=PublicationState.UNSETTLED, reason=reason)
--- a/comfreyusher/configuration/_share.py
+++ b/comfreyusher/configuration/_share.py
@@ -70,9 +70,7 @@
 def apply_records(catalogue, records):
     """Return the catalogue after log records."""
     for record in records:
-        catalogue = apply_record(
-            catalogue, record.offset, record.value, record.time_ms
-        )
+        catalogue = apply_record(catalogue, record.offset, record.value, record.time_ms)
     return catalogue
 
 
--- a/comfreyusher/configuration/_task.py
+++ b/comfreyusher/configuration/_task.py
@@ -25,7 +25,7 @@
     read_whole,
 )
 from comfreyusher.declarations import Catalogue, RecordError, encode_record
-from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.flow import Subscribe, Task, Tick, change
 from comfreyusher.membership._task import OffsetReached
 from comfreyusher.messages import (
     OffsetAsked,
@@ -36,8 +36,8 @@
 )
 from comfreyusher.platform import (
     Append,
-    AppendFailed,
     Appended,
+    AppendFailed,
     Read,
     ReadFailed,
     RecordsRead,
@@ -350,6 +350,6 @@
             if self.restated.get(key) == entry.stated_ms:
                 continue
             self.restated[key] = entry.stated_ms
-            record = dataclasses.replace(entry.record, restated=True)
+            record = change(entry.record, restated=True)
             append = Append(CHANNEL, "", STREAM, encode_record(record))
             self.tell("platform", append)
--- a/comfreyusher/declarations/_fold.py
+++ b/comfreyusher/declarations/_fold.py
@@ -13,6 +13,7 @@
 from comfreyusher.declarations._model import KINDS, parse_declaration
 from comfreyusher.declarations._record import Record, RecordError, decode_record
 from comfreyusher.documents import DocumentError
+from comfreyusher.flow import change
 
 KEPT_PUBLICATIONS = 1000
 
@@ -39,7 +40,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Catalogue:
     """All declarations in force at a log offset.
 
@@ -58,12 +59,12 @@
     """Return the catalogue after the log record at ``offset``."""
     if offset <= catalogue.offset:
         return catalogue
-    moved = dataclasses.replace(catalogue, offset=offset)
+    moved = change(catalogue, offset=offset)
     try:
         record = decode_record(text)
         value = _parse_value(record)
     except RecordError:
-        return dataclasses.replace(moved, skipped=moved.skipped + 1)
+        return change(moved, skipped=moved.skipped + 1)
     key = f"{record.kind}/{record.name}"
     current = moved.entries.get(key)
     if record.restated:
@@ -103,9 +104,7 @@
         reason = f"{key} is at revision {revision}, not {record.based_on}"
         conflict = Conflict(record.publish_id, entry.offset, reason)
         conflicts = catalogue.conflicts.set(record.publish_id, conflict)
-        return dataclasses.replace(
-            catalogue, conflicts=_bound(conflicts, lambda item: item.offset)
-        )
+        return change(catalogue, conflicts=_bound(conflicts, lambda item: item.offset))
     return _put(catalogue, key, entry)
 
 
@@ -115,14 +114,14 @@
         return _put(catalogue, key, entry)
     if entry.record.revision < current.record.revision:
         return catalogue
-    stated = dataclasses.replace(current, stated_ms=entry.stated_ms)
+    stated = change(current, stated_ms=entry.stated_ms)
     entries = catalogue.entries.set(key, stated)
-    return dataclasses.replace(catalogue, entries=entries)
+    return change(catalogue, entries=entries)
 
 
 def _put(catalogue, key, entry):
     settled = catalogue.settled.set(entry.record.publish_id, entry.offset)
-    return dataclasses.replace(
+    return change(
         catalogue,
         entries=catalogue.entries.set(key, entry),
         settled=_bound(settled, lambda offset: offset),
--- a/comfreyusher/entry/_answer.py
+++ b/comfreyusher/entry/_answer.py
@@ -8,7 +8,7 @@
     ClaimState,
     settle_claim,
 )
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.http import plain_answer
 from comfreyusher.messages import (
     AnswerBody,
@@ -80,7 +80,7 @@
     }
     waiters = state.claims[visit.claim].waiters
     claims = settle_claim(state.claims, visit.claim, claim or states[outcome])
-    state = dataclasses.replace(state, claims=claims)
+    state = change(state, claims=claims)
     messages = tuple(
         Address("entry", Settled(exchange, visit.claim, outcome, status, reason))
         for exchange in waiters
@@ -139,10 +139,10 @@
 
 def start_answer(state, visit, result):
     """Pass on the head of an answer, and end the visit if it is complete."""
-    visit = dataclasses.replace(visit, started=True, answer_head=result.head)
+    visit = change(visit, started=True, answer_head=result.head)
     visit = _keep(visit, result.body)
     if visit.origin is not None:
-        answer = to_origin_node(visit, dataclasses.replace(result, key=visit.origin))
+        answer = to_origin_node(visit, change(result, key=visit.origin))
     else:
         answer = Address(CALLERS, _answer_of(visit, result))
     if result.ended:
@@ -175,7 +175,7 @@
         claims = settle_claim(
             state.claims, visit.claim, ClaimState.DONE, head, body, kept
         )
-        state = dataclasses.replace(state, claims=claims)
+        state = change(state, claims=claims)
         messages += tuple(
             Address("entry", Settled(one, visit.claim, Outcome.DONE, status, ""))
             for one in waiters
@@ -205,7 +205,7 @@
 
 def without_claim(visit):
     """Return a visit that does not run its claim itself."""
-    return dataclasses.replace(visit, claim="")
+    return change(visit, claim="")
 
 
 def to_origin_node(visit, body):
@@ -241,5 +241,4 @@
     size = sum(len(part) for part in visit.kept)
     if size >= MAX_KEPT_ANSWER_BYTES:
         return visit
-    return dataclasses.replace(visit, kept=visit.kept + (body,))
-
+    return change(visit, kept=visit.kept + (body,))
--- a/comfreyusher/entry/_arrive.py
+++ b/comfreyusher/entry/_arrive.py
@@ -1,7 +1,5 @@
 """The pipe of an arriving request, up to its offer to the owner of a group."""
 
-import dataclasses
-
 import xxhash
 
 from comfreyusher.accounts import AccountEntry, Begun
@@ -14,7 +12,7 @@
 )
 from comfreyusher.entry._forward import forward
 from comfreyusher.entry._keys import KeyKind, KeyRefused, mint_key, parse_key
-from comfreyusher.flow import Address, passed, pipe, stopped
+from comfreyusher.flow import Address, change, passed, pipe, stopped
 from comfreyusher.http import answer_text
 from comfreyusher.messages import (
     ClaimAsked,
@@ -52,7 +50,7 @@
     if customer is None:
         reason = "no customer has this key"
         return refuse(state, visit, Outcome.NOT_RUN, 401, reason)
-    return passed(state, dataclasses.replace(visit, customer=customer))
+    return passed(state, change(visit, customer=customer))
 
 
 def hand_out_key(state, visit):
@@ -88,7 +86,7 @@
             f"{match.service.profile}"
         )
         return refuse(state, visit, Outcome.NOT_RUN, 503, reason, 5000)
-    return passed(state, dataclasses.replace(visit, match=match))
+    return passed(state, change(visit, match=match))
 
 
 def open_account(state, visit):
@@ -103,7 +101,7 @@
         visit.request.head.method,
         visit.request.head.target,
     )
-    visit = dataclasses.replace(visit, accounted=True)
+    visit = change(visit, accounted=True)
     return passed(state, visit, Address("accounts", Begun(visit.exchange, entry)))
 
 
@@ -117,12 +115,12 @@
             return refuse(state, visit, Outcome.NOT_RUN, 400, reason)
         limit_ms = min(limit_ms, int(asked))
     deadline_s = visit.began_s + limit_ms / 1000
-    return passed(state, dataclasses.replace(visit, deadline_s=deadline_s))
+    return passed(state, change(visit, deadline_s=deadline_s))
 
 
 def refuse_poisoned(state, visit):
     """Refuse requests that crash upstreams."""
-    visit = dataclasses.replace(visit, fingerprint=_fingerprint(visit))
+    visit = change(visit, fingerprint=_fingerprint(visit))
     until_s = state.quarantine.get(visit.fingerprint)
     if until_s is not None and state.now_s < until_s:
         reason = "this request crashed upstreams and is quarantined"
@@ -157,7 +155,7 @@
         if error.too_old:
             return refuse(state, visit, Outcome.UNKNOWN, 409, str(error))
         return refuse(state, visit, Outcome.NOT_RUN, 400, str(error))
-    return passed(state, dataclasses.replace(visit, key=key))
+    return passed(state, change(visit, key=key))
 
 
 def claim(state, visit):
@@ -181,11 +179,11 @@
         reason = "the node that holds this key is gone; the request may have run"
         return refuse(state, visit, Outcome.UNKNOWN, 409, reason)
     key = WorkKey(state.node, state.works + 1)
-    state = dataclasses.replace(state, works=state.works + 1)
+    state = change(state, works=state.works + 1)
     request = visit.request
     body = b"".join((request.body, *visit.held))
     handed = HandOver(key, visit.customer, request.head, body, visit.body_ended)
-    visit = dataclasses.replace(visit, work=key, owner=holder, held=())
+    visit = change(visit, work=key, owner=holder, held=())
     return stopped(state, visit, Address("peers", ToNode(holder, handed)))
 
 
@@ -195,11 +193,11 @@
     known = state.claims.get(name)
     if known is None or known.state is ClaimState.FREE:
         claims = start_claim(state.claims, name, visit.key.made_ms, visit.exchange)
-        state = dataclasses.replace(state, claims=claims)
-        return passed(state, dataclasses.replace(visit, claim=name))
+        state = change(state, claims=claims)
+        return passed(state, change(visit, claim=name))
     if known.state is ClaimState.RUNNING:
         claims = add_waiter(state.claims, name, visit.exchange)
-        state = dataclasses.replace(state, claims=claims)
+        state = change(state, claims=claims)
         return stopped(state, without_claim(visit))
     if known.state is ClaimState.DONE:
         return replay(state, visit, known)
--- a/comfreyusher/entry/_claims.py
+++ b/comfreyusher/entry/_claims.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from comfreyusher.flow import change
 from comfreyusher.messages import AnswerHead
 
 MAX_KEPT_ANSWER_BYTES = 65536
@@ -49,16 +50,14 @@
 def add_waiter(claims, name, exchange):
     """Return the claims with one more exchange waiting for the answer."""
     claim = claims[name]
-    waiting = dataclasses.replace(claim, waiters=claim.waiters + (exchange,))
+    waiting = change(claim, waiters=claim.waiters + (exchange,))
     return claims.set(name, waiting)
 
 
 def settle_claim(claims, name, state, head=None, body=b"", kept=False):
     """Return the claims after the holder's run has ended."""
     claim = claims[name]
-    settled = dataclasses.replace(
-        claim, state=state, waiters=(), head=head, body=body, kept=kept
-    )
+    settled = change(claim, state=state, waiters=(), head=head, body=body, kept=kept)
     return claims.set(name, settled)
 
 
--- a/comfreyusher/entry/_forward.py
+++ b/comfreyusher/entry/_forward.py
@@ -1,9 +1,7 @@
 """The choice of group and owner, and the offer."""
 
-import dataclasses
-
 from comfreyusher.entry._answer import refuse
-from comfreyusher.flow import Address, stopped
+from comfreyusher.flow import Address, change, stopped
 from comfreyusher.membership import rank_owners
 from comfreyusher.messages import Offer, Outcome, ToNode, WorkClass, WorkKey
 from comfreyusher.telemetry import format_context
@@ -20,7 +18,7 @@
         reason = f"no upstream of {visit.match.service.name} is known"
         return refuse(state, visit, Outcome.NOT_RUN, 503, reason, 1000)
     ranking = rank_owners(state.ownership, place.name, place.region)
-    state = dataclasses.replace(state, ownership=ranking.ownership)
+    state = change(state, ownership=ranking.ownership)
     for record in ranking.owners:
         if record.node not in visit.tried_owners:
             return offer_to(state, visit, place, record.node)
@@ -62,8 +60,8 @@
         b"".join((request.body, *visit.held)),
         visit.body_ended,
     )
-    state = dataclasses.replace(state, works=number)
-    visit = dataclasses.replace(
+    state = change(state, works=number)
+    visit = change(
         visit,
         work=key,
         owner=owner,
@@ -92,7 +90,7 @@
         return None
     if visit.match.route.work_class is WorkClass.LONG or visit.key is not None:
         return None
-    visit = dataclasses.replace(
+    visit = change(
         visit,
         tried_groups=visit.tried_groups | {visit.group},
         tried_owners=frozenset(),
@@ -103,7 +101,7 @@
     cost = len(visit.request.body) + SPILL_OVERHEAD_BYTES
     if state.spill_tokens < cost:
         return None
-    state = dataclasses.replace(state, spill_tokens=state.spill_tokens - cost)
+    state = change(state, spill_tokens=state.spill_tokens - cost)
     return forward(state, visit)
 
 
@@ -111,4 +109,4 @@
     """Return the state with the spill budget of the time that passed."""
     earned = (state.now_s - state.spill_s) * rate_bytes_per_s
     tokens = min(state.spill_tokens + earned, rate_bytes_per_s * SPILL_BURST_S)
-    return dataclasses.replace(state, spill_tokens=tokens, spill_s=state.now_s)
+    return change(state, spill_tokens=tokens, spill_s=state.now_s)
--- a/comfreyusher/entry/_settle.py
+++ b/comfreyusher/entry/_settle.py
@@ -1,7 +1,5 @@
 """Decisions on what owners, holders and the account task say about a visit."""
 
-import dataclasses
-
 from comfreyusher.entry._answer import (
     continue_answer,
     refuse,
@@ -10,12 +8,11 @@
 )
 from comfreyusher.entry._claims import ClaimState
 from comfreyusher.entry._forward import (
-    forward,
     may_offer_again,
     try_other_group,
     try_other_owner,
 )
-from comfreyusher.flow import Address, passed, stopped
+from comfreyusher.flow import Address, change, passed, stopped
 from comfreyusher.messages import AnswerInterim, Outcome, Result
 
 INFORMATIONAL_END = 200
@@ -27,7 +24,7 @@
     if result.head.status < INFORMATIONAL_END:
         return _pass_interim(state, visit, result)
     if visit.accounted and not visit.copied:
-        visit = dataclasses.replace(visit, answers=visit.answers + (result,))
+        visit = change(visit, answers=visit.answers + (result,))
         return stopped(state, visit)
     return start_answer(state, visit, result)
 
@@ -42,7 +39,7 @@
 def take_result_body(state, visit, body):
     """Pass more of a result on."""
     if visit.answers:
-        visit = dataclasses.replace(visit, answers=visit.answers + (body,))
+        visit = change(visit, answers=visit.answers + (body,))
         return stopped(state, visit)
     return continue_answer(state, visit, body)
 
@@ -50,7 +47,7 @@
 def confirm_copy(state, visit, confirmed):
     """Release the answer that waited for the copy of its account entry."""
     answers = visit.answers
-    step = passed(state, dataclasses.replace(visit, copied=True, answers=()))
+    step = passed(state, change(visit, copied=True, answers=()))
     messages = ()
     for answer in answers:
         take = start_answer if isinstance(answer, Result) else continue_answer
@@ -89,7 +86,7 @@
         return _lose_unsent(state, visit)
     repeatable = visit.match.route.idempotent and may_offer_again(visit)
     if repeatable and state.reoffer_tokens >= 1:
-        state = dataclasses.replace(state, reoffer_tokens=state.reoffer_tokens - 1)
+        state = change(state, reoffer_tokens=state.reoffer_tokens - 1)
         step = try_other_owner(state, visit)
         if step is not None:
             return step
@@ -123,14 +120,3 @@
         return refuse(state, visit, Outcome.NOT_RUN, status, reason, 1000)
     reason = "an earlier request with this key may have run"
     return refuse(state, visit, Outcome.UNKNOWN, 409, reason)
-
-
-__all__ = [
-    "confirm_copy",
-    "forward",
-    "lose_owner",
-    "settle_waiter",
-    "take_refusal",
-    "take_result",
-    "take_result_body",
-]
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -21,7 +21,7 @@
     region: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Visit:
     """One request on its entry node.
 
@@ -61,7 +61,7 @@
     caller_gone: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class EntryState:
     """What the filters of a request's pipe know.
 
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -20,7 +20,7 @@
     take_result_body,
 )
 from comfreyusher.entry._state import REOFFER_TOKENS_MAX, Visit
-from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.flow import Subscribe, Task, Tick, change
 from comfreyusher.membership import Ownership
 from comfreyusher.messages import (
     AnswerCredit,
@@ -69,6 +69,11 @@
     ownership: Ownership
 
 
+def goes_later(address):
+    """Sort offers before the account entries that may follow them."""
+    return address.channel != "peers"
+
+
 class EntryTask(Task):
     """Keeps one frozen ``Visit`` a request, and their shared ``EntryState``."""
 
@@ -118,11 +123,11 @@
         """Run a decision on a visit, and keep what it returns."""
         now = self.clock()
         now_ms = int(self.wall_clock() * 1000)
-        state = dataclasses.replace(self.state, now_s=now, now_ms=now_ms)
+        state = change(self.state, now_s=now, now_ms=now_ms)
         step = decision(state, visit, *message)
         self.state = step.state
         self._keep(visit, step.item)
-        for address in step.messages:
+        for address in sorted(step.messages, key=goes_later):
             if isinstance(address.body, Forget):
                 self.forget(address.body)
             else:
@@ -176,7 +181,7 @@
         self.visits[visit.exchange] = visit
         tokens = self.state.reoffer_tokens + REOFFERS_PER_REQUEST
         tokens = min(tokens, REOFFER_TOKENS_MAX)
-        self.state = dataclasses.replace(self.state, reoffer_tokens=tokens)
+        self.state = change(self.state, reoffer_tokens=tokens)
         self.run(ARRIVAL, visit)
 
     def _new_visit(self, exchange, request, origin=None):
@@ -206,12 +211,10 @@
         if visit is None:
             return
         if visit.work is None:
-            visit = dataclasses.replace(
-                visit, held=visit.held + (more.body,), body_ended=more.ended
-            )
+            visit = change(visit, held=visit.held + (more.body,), body_ended=more.ended)
             self.visits[visit.exchange] = visit
             return
-        moved = dataclasses.replace(visit, body_moved=True, body_ended=more.ended)
+        moved = change(visit, body_moved=True, body_ended=more.ended)
         self.visits[visit.exchange] = moved
         body = HandOverBody if not visit.group else OfferBody
         self._tell_owner(visit, body(visit.work, more.body, more.ended))
@@ -222,7 +225,7 @@
         if visit is None:
             return
         if visit.work is None or (visit.claim and visit.body_ended):
-            gone_visit = dataclasses.replace(visit, caller_gone=True)
+            gone_visit = change(visit, caller_gone=True)
             self.visits[visit.exchange] = gone_visit
             return
         if not visit.group:
@@ -273,7 +276,7 @@
         head = handed.head
         request = RequestStart(self.handed, "", head, handed.body, handed.ended)
         visit = self._new_visit(self.handed, request, handed.key)
-        visit = dataclasses.replace(visit, customer=handed.customer)
+        visit = change(visit, customer=handed.customer)
         self.visits[visit.exchange] = visit
         self.by_origin[handed.key] = visit.exchange
         self.run(HANDED_OVER, visit)
@@ -299,21 +302,21 @@
             reason = "the log did not settle the key; use a key of the fleet"
             self.run(refuse, visit, Outcome.NOT_RUN, 503, reason, 1000)
             return
-        holder = dataclasses.replace(visit, owner=settled.holder)
+        holder = change(visit, owner=settled.holder)
         self.run(GRANTED, holder)
 
     def quarantine(self, heard):
         """Refuse a request that crashed upstreams from now on."""
         until_s = self.clock() + heard.period_ms / 1000
         quarantine = self.state.quarantine.set(heard.fingerprint, until_s)
-        self.state = dataclasses.replace(self.state, quarantine=quarantine)
+        self.state = change(self.state, quarantine=quarantine)
         logging.warning("%s quarantined fingerprint=%s", LOG, heard.fingerprint)
 
     # Node ----------------------------------------------------------------------------
 
     def take_situation(self, situation):
         """Take a new configuration or view of the fleet."""
-        self.state = dataclasses.replace(
+        self.state = change(
             self.state,
             table=situation.table,
             ready=situation.ready,
@@ -354,6 +357,4 @@
         for fingerprint, until_s in quarantine.items():
             if until_s < now:
                 quarantine = quarantine.delete(fingerprint)
-        self.state = dataclasses.replace(
-            self.state, claims=claims, quarantine=quarantine
-        )
+        self.state = change(self.state, claims=claims, quarantine=quarantine)
--- a/comfreyusher/flow/__init__.py
+++ b/comfreyusher/flow/__init__.py
@@ -1,8 +1,10 @@
 """Pipes, tasks, the timer service and the socket tasks they run on."""
 
+from comfreyusher.flow._change import change
 from comfreyusher.flow._datagrams import DatagramTask
 from comfreyusher.flow._pipe import Step, passed, pipe, stopped
 from comfreyusher.flow._poller import Poller
+from comfreyusher.flow._root import Root
 from comfreyusher.flow._streams import (
     Accepted,
     Closed,
@@ -24,6 +26,7 @@
     "Drained",
     "Poller",
     "Received",
+    "Root",
     "Step",
     "StreamTask",
     "Subscribe",
@@ -32,6 +35,7 @@
     "TimerService",
     "Unsubscribe",
     "bind_listener",
+    "change",
     "fire_message",
     "passed",
     "pipe",
--- a/comfreyusher/health/_evidence.py
+++ b/comfreyusher/health/_evidence.py
@@ -10,6 +10,8 @@
 import math
 import statistics
 
+from comfreyusher.flow import change
+
 BAD_SHARE_WHEN_HEALTHY = 0.05
 BAD_SHARE_WHEN_FAILING = 0.5
 BAD_WEIGHT = math.log(BAD_SHARE_WHEN_FAILING / BAD_SHARE_WHEN_HEALTHY)
@@ -27,7 +29,7 @@
     LEAVING = "leaving"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Health:
     """Health of one upstream; times are monotonic seconds."""
 
@@ -43,7 +45,7 @@
 
 def note_good(health, now):
     """Return the health after work that was answered in time."""
-    return dataclasses.replace(
+    return change(
         health,
         evidence=max(0.0, health.evidence + GOOD_WEIGHT),
         last_answer_s=now,
@@ -54,7 +56,7 @@
 
 def note_bad(health, unreachable=False):
     """Return the health after work that stalled or failed."""
-    return dataclasses.replace(
+    return change(
         health,
         evidence=health.evidence + BAD_WEIGHT,
         successes=0,
--- a/comfreyusher/http/__init__.py
+++ b/comfreyusher/http/__init__.py
@@ -2,7 +2,7 @@
 
 from comfreyusher.http._client import HttpClientTask
 from comfreyusher.http._errors import HttpError
-from comfreyusher.http._parse import RequestParser, ReplyParser
+from comfreyusher.http._parse import ReplyParser, RequestParser
 from comfreyusher.http._server import (
     HttpLimits,
     HttpServerTask,
--- a/comfreyusher/http/_server.py
+++ b/comfreyusher/http/_server.py
@@ -246,9 +246,7 @@
         state.answer_started = True
         head = answer.head
         bare = head.status in (204, 304) or state.head.method == "HEAD"
-        framed = any(
-            name.lower() == b"content-length" for name, _ in head.headers
-        )
+        framed = any(name.lower() == b"content-length" for name, _ in head.headers)
         length = None
         if answer.ended and not framed and not bare:
             length = len(answer.body)
@@ -259,7 +257,8 @@
             state.close_after = True
         state.close_after = state.close_after or (streaming and old)
         data = write_answer_head(head, state.chunked, state.close_after, length)
-        self._write_answer(number, state, data, b"" if bare else answer.body)
+        body = b"" if bare else answer.body
+        self._write_answer(number, state, data, body, answer.ended)
         if answer.ended:
             self._end_answer(number, state)
 
@@ -270,13 +269,13 @@
             return
         state = self.states[number]
         body = b"" if state.head.method == "HEAD" else answer.body
-        self._write_answer(number, state, b"", body)
+        self._write_answer(number, state, b"", body, answer.ended)
         if answer.ended:
             self._end_answer(number, state)
 
-    def _write_answer(self, number, state, head, body):
+    def _write_answer(self, number, state, head, body, ended):
         framed = write_chunk(body, state.chunked) if body else b""
-        state.owed_bytes += len(body)
+        state.owed_bytes += 0 if ended else len(body)
         exchange = state.exchange
         self.write(number, head + framed)
         if state.owed_bytes and number in self.states:
--- a/comfreyusher/membership/_decide.py
+++ b/comfreyusher/membership/_decide.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 
-from comfreyusher.flow import Step, stopped
+from comfreyusher.flow import Step, change, stopped
 from comfreyusher.membership._state import (
     GossipKind,
     GossipMessage,
@@ -47,10 +47,10 @@
 
 def begin_leaving(state, settings):
     """Tell members at once that this node takes no new work."""
-    own = dataclasses.replace(
+    own = change(
         state.own, standing=MemberStanding.LEAVING, version=state.own.version + 1
     )
-    state = _spread(dataclasses.replace(state, own=own), own, settings)
+    state = _spread(change(state, own=own), own, settings)
     sends = tuple(
         _send_to(state, record, GossipKind.PAGE, members=(own,))
         for record in _others(state)
@@ -86,7 +86,7 @@
     age_s = now - probe.sent_s
     if age_s >= settings.period_s:
         state = _suspect(state, probe.node, now, settings)
-        state = dataclasses.replace(state, probe=None)
+        state = change(state, probe=None)
         return _start_probe(state, now, settings, shuffle)
     if age_s >= settings.ack_timeout_s and not probe.indirect and probe.node:
         return _ask_others(state, probe, settings, shuffle)
@@ -115,12 +115,12 @@
 def _hear_ack(state, message, now, settings):
     probe = state.probe
     if probe is not None and probe.sequence == message.sequence and probe.node:
-        answered = dataclasses.replace(probe, node="")
-        return stopped(dataclasses.replace(state, probe=answered), None)
+        answered = change(probe, node="")
+        return stopped(change(state, probe=answered), None)
     relay = state.relays.get(message.sequence)
     if relay is None:
         return stopped(state, None)
-    state = dataclasses.replace(state, relays=state.relays.delete(message.sequence))
+    state = change(state, relays=state.relays.delete(message.sequence))
     asker = state.members.get(_name_of(relay.asker))
     if asker is None:
         return stopped(state, None)
@@ -134,9 +134,7 @@
         return stopped(state, None)
     sequence = state.sequence + 1
     relay = Relay(message.sender, message.sequence, now)
-    state = dataclasses.replace(
-        state, sequence=sequence, relays=state.relays.set(sequence, relay)
-    )
+    state = change(state, sequence=sequence, relays=state.relays.set(sequence, relay))
     ping = _send_to(state, target, GossipKind.PING, sequence)
     return stopped(state, None, ping)
 
@@ -183,15 +181,15 @@
     if _rank(record) <= _rank(own):
         return state
     version = max(own.version, record.version) + 1
-    own = dataclasses.replace(own, version=version)
-    return _spread(dataclasses.replace(state, own=own), own, settings)
+    own = change(own, version=version)
+    return _spread(change(state, own=own), own, settings)
 
 
 def _take_offset(state, known, record):
     if record.node != known.node or record.offset <= known.offset:
         return state
-    known = dataclasses.replace(known, offset=record.offset)
-    return dataclasses.replace(state, members=state.members.set(known.name, known))
+    known = change(known, offset=record.offset)
+    return change(state, members=state.members.set(known.name, known))
 
 
 def _set_suspicion(state, record, now, settings):
@@ -200,7 +198,7 @@
         suspected = suspected.set(record.name, now + settings.suspicion_s)
     elif record.name in suspected:
         suspected = suspected.delete(record.name)
-    state = dataclasses.replace(state, suspected=suspected)
+    state = change(state, suspected=suspected)
     if record.standing is MemberStanding.DEAD:
         return _bury(state, record, now)
     return state
@@ -215,7 +213,7 @@
     """Keep a record and send it on a number of times that fits the fleet."""
     members = state.members.set(record.name, record)
     times = math.ceil(settings.spread_factor * math.log2(len(members) + 1))
-    return dataclasses.replace(
+    return change(
         state, members=members, news=state.news.set(record.name, max(1, times))
     )
 
@@ -226,13 +224,13 @@
 def _start_probe(state, now, settings, shuffle):
     if not state.order:
         others = tuple(record.name for record in _others(state))
-        state = dataclasses.replace(state, order=shuffle(others))
+        state = change(state, order=shuffle(others))
     if not state.order:
         return stopped(state, None)
     name, order = state.order[0], state.order[1:]
     sequence = state.sequence + 1
     probe = Probe(name, sequence, now)
-    state = dataclasses.replace(
+    state = change(
         state,
         order=order,
         sequence=sequence,
@@ -241,7 +239,7 @@
     )
     target = state.members.get(name)
     if target is None:
-        return stopped(dataclasses.replace(state, probe=None), None)
+        return stopped(change(state, probe=None), None)
     step = _with_news(state, settings)
     ping = _send_to(step.state, target, GossipKind.PING, sequence, "", step.item)
     page = _share_page(step.state, target, settings)
@@ -257,15 +255,13 @@
     chunk = tuple(records[start : start + MEMBERS_PER_PAGE])
     following = state.page + 1
     page = following if following * MEMBERS_PER_PAGE < len(records) else 0
-    state = dataclasses.replace(state, page=page)
+    state = change(state, page=page)
     send = _send_to(state, target, GossipKind.PAGE, members=chunk)
     return stopped(state, None, send)
 
 
 def _ask_others(state, probe, settings, shuffle):
-    names = tuple(
-        record.name for record in _others(state) if record.name != probe.node
-    )
+    names = tuple(record.name for record in _others(state) if record.name != probe.node)
     helpers = shuffle(names)[: settings.indirect_probes]
     sends = tuple(
         _send_to(
@@ -277,15 +273,15 @@
         )
         for name in helpers
     )
-    asked = dataclasses.replace(probe, indirect=True)
-    return stopped(dataclasses.replace(state, probe=asked), None, *sends)
+    asked = change(probe, indirect=True)
+    return stopped(change(state, probe=asked), None, *sends)
 
 
 def _suspect(state, name, now, settings):
     record = state.members.get(name)
     if record is None or record.standing is not MemberStanding.ALIVE:
         return _count_leaver_dead(state, record, now, settings)
-    suspect = dataclasses.replace(record, standing=MemberStanding.SUSPECT)
+    suspect = change(record, standing=MemberStanding.SUSPECT)
     state = _spread(state, suspect, settings)
     return _set_suspicion(state, suspect, now, settings)
 
@@ -294,7 +290,7 @@
     """A leaving member that stopped to answer has gone."""
     if record is None or record.standing is not MemberStanding.LEAVING:
         return state
-    dead = dataclasses.replace(record, standing=MemberStanding.DEAD)
+    dead = change(record, standing=MemberStanding.DEAD)
     return _bury(_spread(state, dead, settings), dead, now)
 
 
@@ -304,13 +300,13 @@
         record = state.members.get(name)
         if now < due_s or record is None:
             continue
-        dead = dataclasses.replace(record, standing=MemberStanding.DEAD)
+        dead = change(record, standing=MemberStanding.DEAD)
         state = _spread(state, dead, settings)
         state = _set_suspicion(state, dead, now, settings)
     for sequence, relay in state.relays.items():
         if now - relay.sent_s > settings.period_s:
             relays = state.relays.delete(sequence)
-            state = dataclasses.replace(state, relays=relays)
+            state = change(state, relays=relays)
     for name, (_, since_s) in state.buried.items():
         if now - since_s > BURIED_S:
             state = _unbury(state, name)
@@ -323,7 +319,7 @@
     suspected = state.suspected
     if record.name in suspected:
         suspected = suspected.delete(record.name)
-    return dataclasses.replace(state, buried=buried, suspected=suspected)
+    return change(state, buried=buried, suspected=suspected)
 
 
 def _unbury(state, name):
@@ -331,9 +327,7 @@
     record = members.get(name)
     if record is not None and record.standing is MemberStanding.DEAD:
         members = members.delete(name)
-    return dataclasses.replace(
-        state, members=members, buried=state.buried.delete(name)
-    )
+    return change(state, members=members, buried=state.buried.delete(name))
 
 
 # Sending -------------------------------------------------------------------------
@@ -347,7 +341,7 @@
     for name, left in chosen[:MEMBERS_PER_MESSAGE]:
         records += (state.members[name],) if name in state.members else ()
         news = news.set(name, left - 1) if left > 1 else news.delete(name)
-    return Step(dataclasses.replace(state, news=news), records)
+    return Step(change(state, news=news), records)
 
 
 def _others(state):
--- a/comfreyusher/membership/_ownership.py
+++ b/comfreyusher/membership/_ownership.py
@@ -10,6 +10,8 @@
 import immutables
 import xxhash
 
+from comfreyusher.flow import change
+
 RANKED_OWNERS = 3
 
 
@@ -37,8 +39,7 @@
     moved = {
         name
         for name, record in after.items()
-        if name in ownership.members
-        and ownership.members[name].region != record.region
+        if name in ownership.members and ownership.members[name].region != record.region
     }
     rankings = ownership.rankings
     for key, ranking in ownership.rankings.items():
@@ -63,7 +64,7 @@
     if ranking is None:
         ranking = _rank(ownership.members, group, region)
         rankings = ownership.rankings.set(key, ranking)
-        ownership = dataclasses.replace(ownership, rankings=rankings)
+        ownership = change(ownership, rankings=rankings)
     owners = tuple(ownership.members[score.name] for score in ranking)
     return Ranking(ownership, owners)
 
@@ -106,5 +107,5 @@
 
 def score_member(group, region, record):
     """Return the rendezvous score of a member for a group."""
-    digest = xxhash.xxh64_intdigest(f"{group}|{region}|{record.name}")
+    digest = xxhash.xxh64_intdigest(f"{group}|{region}|{record.name}".encode())
     return Score(digest, record.name)
--- a/comfreyusher/membership/_state.py
+++ b/comfreyusher/membership/_state.py
@@ -25,7 +25,7 @@
     PAGE = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class MemberRecord:
     """What a node says of a member.
 
@@ -54,7 +54,7 @@
     kind: GossipKind
     sequence: int = 0
     target: str = ""
-    members: tuple = ()
+    members: tuple[MemberRecord, ...] = ()
     offset: int = 0
 
 
@@ -86,7 +86,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class MembershipState:
     """Members by name, and the protocol's own counters.
 
--- a/comfreyusher/membership/_task.py
+++ b/comfreyusher/membership/_task.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from comfreyusher.flow import DatagramTask, Subscribe, Tick
+from comfreyusher.flow import DatagramTask, Subscribe, Tick, change
 from comfreyusher.membership._codec import decode_gossip, encode_gossip
 from comfreyusher.membership._decide import begin_leaving, hear, join, run_period
 from comfreyusher.membership._state import (
@@ -91,9 +91,9 @@
 
     def take_offset(self, reached):
         """Carry the configuration offset in later messages."""
-        own = dataclasses.replace(self.state.own, offset=reached.offset)
+        own = change(self.state.own, offset=reached.offset)
         members = self.state.members.set(own.name, own)
-        self.state = dataclasses.replace(self.state, own=own, members=members)
+        self.state = change(self.state, own=own, members=members)
 
     def run_period(self, tick):
         """Advance the protocol."""
@@ -132,9 +132,7 @@
 
     def _publish_view(self):
         members = tuple(
-            dataclasses.replace(
-                record, offset=0, version=0, standing=MemberStanding.ALIVE
-            )
+            change(record, offset=0, version=0, standing=MemberStanding.ALIVE)
             for record in live_members(self.state)
         )
         if members == self.view:
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -4,13 +4,11 @@
 import ssl
 import time
 
-from circuits import BaseComponent
-
 from comfreyusher.accounts import AccountTask
 from comfreyusher.claims import ClaimTask
 from comfreyusher.configuration import ConfigurationTask
 from comfreyusher.entry import EntryTask, new_entry_state
-from comfreyusher.flow import Poller, TimerService, bind_listener
+from comfreyusher.flow import Poller, Root, TimerService, bind_listener
 from comfreyusher.http import HttpClientTask, HttpLimits, HttpServerTask
 from comfreyusher.membership import GossipSettings, MemberRecord, MembershipTask
 from comfreyusher.node._errors import ListenError
@@ -27,12 +25,6 @@
 UPSTREAM_CONNECT_TIMEOUT_S = 1.0
 
 
-class Root(BaseComponent):
-    """Root of the component tree; its ``run`` is the node's event loop."""
-
-    channel = "*"
-
-
 @dataclasses.dataclass(frozen=True)
 class Node:
     """A node ready to run, and the addresses that it listens on."""
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -113,4 +113,3 @@
 
 def _is_any(own, record):
     return True
-
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -11,7 +11,7 @@
 from comfreyusher.configuration import CatalogueChanged, RolesChanged
 from comfreyusher.declarations import Catalogue
 from comfreyusher.entry import Situation
-from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.flow import Subscribe, Task, Tick, change
 from comfreyusher.membership import (
     LeaveFleet,
     Ownership,
@@ -95,6 +95,7 @@
         self.ready = changed.ready
         self.table = build_table(self.table, changed.catalogue.entries)
         self._replan()
+        self._tell_status()
 
     def take_list(self, read):
         """Take a newer list of VMs."""
@@ -122,7 +123,7 @@
         self._tell_situation()
 
     def _tell_roles(self):
-        own = dataclasses.replace(self.own, offset=0, version=0)
+        own = change(self.own, offset=0, version=0)
         roles = derive_roles(own, self.members, self.ownership)
         nodes = tuple(record.node for record in self.members)
         live = frozenset(nodes)
--- a/comfreyusher/operators/_messages.py
+++ b/comfreyusher/operators/_messages.py
@@ -20,4 +20,3 @@
     members: tuple
     vms: immutables.Map
     requests_in_flight: int
-
--- a/comfreyusher/operators/_reports.py
+++ b/comfreyusher/operators/_reports.py
@@ -3,8 +3,7 @@
 import dataclasses
 import typing
 
-from comfreyusher.health import floor_slots
-from comfreyusher.health import Standing
+from comfreyusher.health import Standing, floor_slots
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/operators/_task.py
+++ b/comfreyusher/operators/_task.py
@@ -1,6 +1,5 @@
 """The tasks behind the operators' address."""
 
-import dataclasses
 import hmac
 import urllib.parse
 
@@ -10,7 +9,7 @@
 from circuits.web.servers import BaseServer
 
 from comfreyusher.configuration import PublicationsSeen
-from comfreyusher.flow import Task
+from comfreyusher.flow import Task, change
 from comfreyusher.operators._api import ApiRequest, ApiView, answer_request
 from comfreyusher.operators._messages import NodeStatus
 from comfreyusher.operators._reports import FaultReport, QueryReport
@@ -62,7 +61,7 @@
         """Return a method that keeps a report under a field of the view."""
 
         def keep(report):
-            self.view = dataclasses.replace(self.view, **{name: report})
+            self.view = change(self.view, **{name: report})
 
         return keep
 
@@ -88,7 +87,7 @@
         queries = self.view.queries.set(report.query_id, report)
         while len(queries) > KEPT_QUERIES:
             queries = queries.delete(next(iter(queries)))
-        self.view = dataclasses.replace(self.view, queries=queries)
+        self.view = change(self.view, queries=queries)
 
     @handler("request", channel=WEB_CHANNEL, priority=1)
     def on_request(self, event, request, response):
--- a/comfreyusher/owner/__init__.py
+++ b/comfreyusher/owner/__init__.py
@@ -1,6 +1,7 @@
 """The owner of a group of upstreams: one queue, one view, pure decisions."""
 
 from comfreyusher.owner._decide import decide
+from comfreyusher.owner._messages import Clock, Ejected, PlanChanged
 from comfreyusher.owner._state import (
     Attempt,
     Group,
@@ -10,7 +11,6 @@
     Work,
     new_group,
 )
-from comfreyusher.owner._messages import Clock, Ejected, PlanChanged
 from comfreyusher.owner._task import OwnerStatus, OwnerTask, PlansKnown
 
 __all__ = [
--- a/comfreyusher/owner/_offers.py
+++ b/comfreyusher/owner/_offers.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
-from comfreyusher.flow import passed, pipe, stopped
+from comfreyusher.flow import change, passed, pipe, stopped
 from comfreyusher.health import Standing
 from comfreyusher.messages import Outcome, ReplyCredit, SendBody, SendCancel
 from comfreyusher.owner._admit import estimate_wait, is_too_late, retry_after_ms
 from comfreyusher.owner._messages import to_upstream
 from comfreyusher.owner._queue import dequeue, enqueue
-from comfreyusher.owner._settle import forget, refuse, release
+from comfreyusher.owner._settle import refuse, release
 from comfreyusher.owner._state import RETRY_TOKENS_MAX, Attempt, Work
 
 OWNER_UNFIT = "the owner of the group reaches no upstream"
@@ -69,7 +69,7 @@
     """Queue the work and earn a share of a retry."""
     work = arrival.work
     tokens = group.retry_tokens + group.plan.profile.retries.budget_share
-    group = dataclasses.replace(
+    group = change(
         enqueue(group, work),
         works=group.works.set(work.offer.key, work),
         retry_tokens=min(RETRY_TOKENS_MAX, tokens),
@@ -86,11 +86,11 @@
     if work is None:
         return stopped(group, None)
     if not work.credited:
-        work = dataclasses.replace(work, held=work.held + (body.body,))
-    work = dataclasses.replace(work, held_ended=body.ended)
+        work = change(work, held=work.held + (body.body,))
+    work = change(work, held_ended=body.ended)
     if body.ended and work.upstream:
-        work = dataclasses.replace(work, ready_s=now)
-    group = dataclasses.replace(group, works=group.works.set(body.key, work))
+        work = change(work, ready_s=now)
+    group = change(group, works=group.works.set(body.key, work))
     if not work.upstream:
         return stopped(group, None)
     attempt = Attempt(body.key, work.attempts)
@@ -131,21 +131,6 @@
     tried = work.tried | {work.upstream}
     if tried >= set(group.upstreams):
         tried = frozenset()
-    work = dataclasses.replace(
-        work, upstream="", tried=tried, credited=False, stalls=0, ready_s=0.0
-    )
-    group = dataclasses.replace(
-        enqueue(group, work), works=group.works.set(work.offer.key, work)
-    )
+    work = change(work, upstream="", tried=tried, credited=False, stalls=0, ready_s=0.0)
+    group = change(enqueue(group, work), works=group.works.set(work.offer.key, work))
     return stopped(group, work)
-
-
-__all__ = [
-    "cancel_running",
-    "forget",
-    "hold_body",
-    "pass_credit",
-    "requeue",
-    "take_offer",
-    "withdraw",
-]
--- a/comfreyusher/owner/_poison.py
+++ b/comfreyusher/owner/_poison.py
@@ -6,9 +6,7 @@
 the upstreams. An answer clears a suspect.
 """
 
-import dataclasses
-
-from comfreyusher.flow import Address, passed, stopped
+from comfreyusher.flow import Address, change, passed, stopped
 from comfreyusher.messages import Outcome, PoisonHeard, ToOthers
 from comfreyusher.owner._messages import PEERS
 from comfreyusher.owner._settle import refuse, replace_upstream
@@ -28,9 +26,7 @@
     crashed = known.crashed if known else frozenset()
     crashed |= {work.upstream}
     suspicion = Suspicion(crashed, now)
-    group = dataclasses.replace(
-        group, suspicions=group.suspicions.set(fingerprint, suspicion)
-    )
+    group = change(group, suspicions=group.suspicions.set(fingerprint, suspicion))
     if len(crashed) < group.plan.profile.poison_crashes:
         return passed(group, work)
     return _condemn(group, work, crashed)
@@ -40,9 +36,7 @@
     for name in crashed:
         group = _acquit_upstream(group, name)
     fingerprint = work.offer.fingerprint
-    group = dataclasses.replace(
-        group, suspicions=group.suspicions.delete(fingerprint)
-    )
+    group = change(group, suspicions=group.suspicions.delete(fingerprint))
     heard = PoisonHeard(fingerprint, group.plan.profile.quarantine_ms)
     step = refuse(group, work, Outcome.UNKNOWN, 422, POISONED)
     spread = Address(PEERS, ToOthers(heard))
@@ -53,8 +47,8 @@
     upstream = group.upstreams.get(name)
     if upstream is None:
         return group
-    health = dataclasses.replace(upstream.health, evidence=0.0)
-    return replace_upstream(group, dataclasses.replace(upstream, health=health))
+    health = change(upstream.health, evidence=0.0)
+    return replace_upstream(group, change(upstream, health=health))
 
 
 def clear_suspicion(group, work):
@@ -62,9 +56,7 @@
     fingerprint = work.offer.fingerprint
     if fingerprint not in group.suspicions:
         return group
-    return dataclasses.replace(
-        group, suspicions=group.suspicions.delete(fingerprint)
-    )
+    return change(group, suspicions=group.suspicions.delete(fingerprint))
 
 
 def expire_suspicions(group, now):
@@ -72,5 +64,5 @@
     for fingerprint, suspicion in group.suspicions.items():
         if now - suspicion.seen_s > SUSPICION_S:
             suspicions = group.suspicions.delete(fingerprint)
-            group = dataclasses.replace(group, suspicions=suspicions)
+            group = change(group, suspicions=suspicions)
     return group
--- a/comfreyusher/owner/_queue.py
+++ b/comfreyusher/owner/_queue.py
@@ -3,6 +3,7 @@
 import bisect
 import dataclasses
 
+from comfreyusher.flow import change
 from comfreyusher.messages import WorkClass
 
 
@@ -20,9 +21,9 @@
     place = Place(work.deadline_s, work.offer.key.number, work.offer.key)
     if group.is_long(work):
         queue = _insert(group.long_queue, place)
-        return dataclasses.replace(group, long_queue=queue)
+        return change(group, long_queue=queue)
     queue = _insert(group.short_queue, place)
-    return dataclasses.replace(group, short_queue=queue)
+    return change(group, short_queue=queue)
 
 
 def dequeue(group, work):
@@ -30,9 +31,9 @@
     key = work.offer.key
     if group.is_long(work):
         queue = tuple(place for place in group.long_queue if place.key != key)
-        return dataclasses.replace(group, long_queue=queue)
+        return change(group, long_queue=queue)
     queue = tuple(place for place in group.short_queue if place.key != key)
-    return dataclasses.replace(group, short_queue=queue)
+    return change(group, short_queue=queue)
 
 
 def queue_of(group, work_class):
--- a/comfreyusher/owner/_replies.py
+++ b/comfreyusher/owner/_replies.py
@@ -1,8 +1,7 @@
 """Decisions on messages from the upstreams' connections."""
 
-import dataclasses
-
-from comfreyusher.flow import stopped
+from comfreyusher.flow import change, stopped
+from comfreyusher.health import Standing
 from comfreyusher.messages import (
     OfferCredit,
     Outcome,
@@ -23,8 +22,8 @@
     release,
     replace_upstream,
 )
-from comfreyusher.owner._state import Attempt, set_standing
-from comfreyusher.health import Standing
+from comfreyusher.owner._state import set_standing
+from comfreyusher.owner._trace import end_spans
 
 REFUSED_HEADER = b"request-refused"
 DRAINING_HEADER = b"upstream-draining"
@@ -51,8 +50,8 @@
     if refused and reply.head.status == RESULT_STATUS_REFUSED:
         return _take_refused(group, reply, work, refused, now)
     group = _judge_reply(group, reply, work, now)
-    work = dataclasses.replace(work, started=True, held=(), credited=True)
-    group = dataclasses.replace(group, works=group.works.set(work.offer.key, work))
+    work = change(work, started=True, held=(), credited=True)
+    group = change(group, works=group.works.set(work.offer.key, work))
     result = Result(
         work.offer.key,
         work.upstream,
@@ -62,9 +61,10 @@
         (work.dispatched_s - work.queued_s) * 1000,
         work.attempts,
     )
-    if reply.ended:
-        group = forget(release(group, work), work)
-    return stopped(group, work, to_origin(result))
+    if not reply.ended:
+        return stopped(group, work, to_origin(result))
+    group = forget(release(group, work), work)
+    return stopped(group, work, to_origin(result), *end_spans(work, now))
 
 
 def _drop(group, reply):
@@ -82,9 +82,7 @@
     if refused == DRAINING:
         group = replace_upstream(group, set_standing(upstream, Standing.LEAVING))
     else:
-        lowered = dataclasses.replace(
-            upstream, shed_limit=max(1, upstream.in_flight)
-        )
+        lowered = change(upstream, shed_limit=max(1, upstream.in_flight))
         group = replace_upstream(group, lowered)
     messages = _drop(group, reply).messages
     if may_repeat_unrun(group, work):
@@ -116,9 +114,10 @@
     if work is None:
         return _drop(group, reply)
     body = ResultBody(work.offer.key, reply.body, reply.ended)
-    if reply.ended:
-        group = forget(release(group, work), work)
-    return stopped(group, work, to_origin(body))
+    if not reply.ended:
+        return stopped(group, work, to_origin(body))
+    group = forget(release(group, work), work)
+    return stopped(group, work, to_origin(body), *end_spans(work, now))
 
 
 def pass_interim(group, interim, now):
@@ -136,9 +135,9 @@
     if work is None:
         return stopped(group, None)
     if not work.credited and not work.offer.ended:
-        work = dataclasses.replace(work, credited=True, held=())
+        work = change(work, credited=True, held=())
         works = group.works.set(work.offer.key, work)
-        group = dataclasses.replace(group, works=works)
+        group = change(group, works=works)
     passed_on = OfferCredit(work.offer.key, credit.size_bytes)
     return stopped(group, work, to_origin(passed_on))
 
@@ -193,16 +192,4 @@
 
 def spend_retry(group):
     """Return the group with one retry less in its budget."""
-    return dataclasses.replace(group, retry_tokens=group.retry_tokens - 1)
-
-
-__all__ = [
-    "Attempt",
-    "may_repeat_run",
-    "pass_interim",
-    "pass_reply_body",
-    "pass_sent_credit",
-    "spend_retry",
-    "take_failure",
-    "take_reply",
-]
+    return change(group, retry_tokens=group.retry_tokens - 1)
--- a/comfreyusher/owner/_settle.py
+++ b/comfreyusher/owner/_settle.py
@@ -1,8 +1,6 @@
 """Effects of dispatches: messages out, and bookkeeping when work leaves."""
 
-import dataclasses
-
-from comfreyusher.flow import Step, stopped
+from comfreyusher.flow import Step, change, stopped
 from comfreyusher.health import note_bad, note_good
 from comfreyusher.messages import (
     Outcome,
@@ -13,6 +11,7 @@
 )
 from comfreyusher.owner._messages import to_origin, to_upstream
 from comfreyusher.owner._state import RECENT_DURATIONS, Attempt
+from comfreyusher.owner._trace import upstream_trace_parent
 
 DEADLINE_HEADER = b"Request-Deadline-Ms"
 REQUEST_ID_HEADER = b"Request-Id"
@@ -21,7 +20,7 @@
 
 def dispatch(group, work, upstream, now):
     """Return the group with the work on an upstream, and what to send."""
-    work = dataclasses.replace(
+    work = change(
         work,
         upstream=upstream.name,
         dispatched_s=now,
@@ -29,13 +28,13 @@
         attempts=work.attempts + 1,
         stalls=0,
     )
-    upstream = dataclasses.replace(
+    upstream = change(
         upstream,
         in_flight=upstream.in_flight + 1,
         long_in_flight=upstream.long_in_flight + group.is_long(work),
         last_pick=group.picks + 1,
     )
-    group = dataclasses.replace(
+    group = change(
         group,
         picks=group.picks + 1,
         works=group.works.set(work.offer.key, work),
@@ -47,7 +46,7 @@
 def _sends(work, upstream, now):
     offer = work.offer
     attempt = Attempt(offer.key, work.attempts)
-    head = _head_for_upstream(offer, work.deadline_s - now)
+    head = _head_for_upstream(work, work.deadline_s - now)
     ended = offer.ended
     fresh = not offer.idempotent
     start = SendStart(
@@ -61,13 +60,14 @@
     return tuple(sends)
 
 
-def _head_for_upstream(offer, remaining_s):
+def _head_for_upstream(work, remaining_s):
+    offer = work.offer
     own = {DEADLINE_HEADER.lower(), REQUEST_ID_HEADER.lower(), TRACE_HEADER}
     kept = tuple(pair for pair in offer.head.headers if pair[0].lower() not in own)
     added = (
         (DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * 1000))),
         (REQUEST_ID_HEADER, offer.request_id.encode()),
-        (TRACE_HEADER, offer.trace_parent.encode()),
+        (TRACE_HEADER, upstream_trace_parent(work).encode()),
     )
     return RequestHead(offer.head.method, offer.head.target, kept + added)
 
@@ -77,7 +77,7 @@
     upstream = group.upstreams.get(work.upstream)
     if upstream is None:
         return group
-    upstream = dataclasses.replace(
+    upstream = change(
         upstream,
         in_flight=upstream.in_flight - 1,
         long_in_flight=upstream.long_in_flight - group.is_long(work),
@@ -87,7 +87,7 @@
 
 def forget(group, work):
     """Return the group without the work."""
-    return dataclasses.replace(group, works=group.works.delete(work.offer.key))
+    return change(group, works=group.works.delete(work.offer.key))
 
 
 def refuse(group, work, outcome, status, reason, retry_after_ms=0):
@@ -96,15 +96,13 @@
     if work.offer.key in group.works:
         group = forget(group, work)
     if outcome is Outcome.NOT_RUN:
-        group = dataclasses.replace(group, refused_total=group.refused_total + 1)
+        group = change(group, refused_total=group.refused_total + 1)
     return stopped(group, work, to_origin(refusal))
 
 
 def replace_upstream(group, upstream):
     """Return the group with one upstream replaced."""
-    return dataclasses.replace(
-        group, upstreams=group.upstreams.set(upstream.name, upstream)
-    )
+    return change(group, upstreams=group.upstreams.set(upstream.name, upstream))
 
 
 def judge_good(group, name, now):
@@ -113,7 +111,7 @@
     if upstream is None:
         return group
     health = note_good(upstream.health, now)
-    return replace_upstream(group, dataclasses.replace(upstream, health=health))
+    return replace_upstream(group, change(upstream, health=health))
 
 
 def judge_bad(group, name, unreachable=False):
@@ -122,7 +120,7 @@
     if upstream is None:
         return group
     health = note_bad(upstream.health, unreachable)
-    return replace_upstream(group, dataclasses.replace(upstream, health=health))
+    return replace_upstream(group, change(upstream, health=health))
 
 
 def note_duration(group, work, now):
@@ -130,6 +128,6 @@
     duration_s = now - (work.ready_s or work.dispatched_s)
     if group.is_long(work):
         recent = (group.recent_long_s + (duration_s,))[-RECENT_DURATIONS:]
-        return dataclasses.replace(group, recent_long_s=recent)
+        return change(group, recent_long_s=recent)
     recent = (group.recent_short_s + (duration_s,))[-RECENT_DURATIONS:]
-    return dataclasses.replace(group, recent_short_s=recent)
+    return change(group, recent_short_s=recent)
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -5,6 +5,7 @@
 import immutables
 
 from comfreyusher.declarations import Profile
+from comfreyusher.flow import change
 from comfreyusher.health import Health, Standing, new_health
 from comfreyusher.messages import Offer, WorkClass, WorkKey
 
@@ -41,7 +42,7 @@
     members: tuple = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Upstream:
     """An upstream and the work on it.
 
@@ -60,7 +61,7 @@
     opinion_asked_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Work:
     """Offered work; ``upstream`` is empty while it is queued.
 
@@ -91,7 +92,7 @@
     seen_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Group:
     """All that the owner of a group knows."""
 
@@ -143,14 +144,12 @@
             known = Upstream(name, member.host, member.port, member.slots, health)
         elif member.leaving:
             known = set_standing(known, Standing.LEAVING)
-        known = dataclasses.replace(
-            known, host=member.host, port=member.port, slots=member.slots
-        )
+        known = change(known, host=member.host, port=member.port, slots=member.slots)
         upstreams = upstreams.set(name, known)
-    return dataclasses.replace(group, plan=plan, upstreams=upstreams)
+    return change(group, plan=plan, upstreams=upstreams)
 
 
 def set_standing(upstream, standing):
     """Return the upstream with another standing."""
-    health = dataclasses.replace(upstream.health, standing=standing)
-    return dataclasses.replace(upstream, health=health)
+    health = change(upstream.health, standing=standing)
+    return change(upstream, health=health)
--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -142,9 +142,9 @@
         """Drop the index entries of work that has ended."""
         if len(after.works) >= len(before.works) and not isinstance(body, Offer):
             return
-        if len(self.group_of) > 64 + 2 * sum(len(g.works) for g in self.groups.values()):
+        if len(self.group_of) > 64 + 2 * sum(
+            len(g.works) for g in self.groups.values()
+        ):
             self.group_of = {
-                key: name
-                for name, group in self.groups.items()
-                for key in group.works
+                key: name for name, group in self.groups.items() for key in group.works
             }
--- a/comfreyusher/owner/_watch.py
+++ b/comfreyusher/owner/_watch.py
@@ -1,9 +1,8 @@
 """Periodic decisions: stalls, ejections, returns, deadlines, dispatch."""
 
-import dataclasses
 import statistics
 
-from comfreyusher.flow import Address, pipe, stopped, passed
+from comfreyusher.flow import Address, change, passed, pipe, stopped
 from comfreyusher.health import (
     Standing,
     allows_ejection,
@@ -54,7 +53,7 @@
 def refresh_limits(group, now):
     """Derive stall limits and means from recent durations."""
     detection = group.plan.profile.detection
-    group = dataclasses.replace(
+    group = change(
         group,
         short_limit_s=stall_limit(group.recent_short_s, detection),
         short_mean_s=_mean(group.recent_short_s),
@@ -105,9 +104,9 @@
         if not work.upstream or work.started or not work.ready_s:
             continue
         if _is_stalled_again(group, work, now):
-            counted = dataclasses.replace(work, stalls=work.stalls + 1)
+            counted = change(work, stalls=work.stalls + 1)
             works = group.works.set(work.offer.key, counted)
-            group = dataclasses.replace(group, works=works)
+            group = change(group, works=works)
             group = judge_bad(group, work.upstream)
     return passed(group, now)
 
@@ -173,7 +172,7 @@
 
 
 def _ask_opinion(group, upstream, now):
-    asked = dataclasses.replace(upstream, opinion_asked_s=now)
+    asked = change(upstream, opinion_asked_s=now)
     wanted = OpinionWanted(upstream.name, upstream.host, upstream.port)
     group = replace_upstream(group, asked)
     return stopped(group, None, Address("peers", wanted))
@@ -182,9 +181,9 @@
 def eject_now(group, upstream, now, reason):
     """Eject an upstream and rescue the idempotent work that waits on it."""
     health = eject(upstream.health, group.plan.profile.detection, now)
-    ejected = dataclasses.replace(upstream, health=health, opinion_asked_s=0.0)
+    ejected = change(upstream, health=health, opinion_asked_s=0.0)
     group = replace_upstream(group, ejected)
-    group = dataclasses.replace(group, ejected_total=group.ejected_total + 1)
+    group = change(group, ejected_total=group.ejected_total + 1)
     notice = Address(NODE, Ejected(group.plan.group, upstream.name, reason))
     messages = (notice,)
     for work in list(group.works.values()):
@@ -208,8 +207,8 @@
     if upstream is None or not upstream.opinion_asked_s:
         return stopped(group, None)
     if opinion.reachable:
-        health = dataclasses.replace(upstream.health, evidence=0.0)
-        spared = dataclasses.replace(upstream, health=health, opinion_asked_s=0.0)
+        health = change(upstream.health, evidence=0.0)
+        spared = change(upstream, health=health, opinion_asked_s=0.0)
         return stopped(replace_upstream(group, spared), None)
     floor = floor_slots(group.plan.profile, group.plan.configured_slots)
     counted = upstream.health.standing is Standing.HEALTHY
@@ -233,7 +232,7 @@
         limit = upstream.shed_limit + SHED_RECOVERY_PER_TICK
         limit = float("inf") if limit >= upstream.slots else limit
         if health is not upstream.health or limit != upstream.shed_limit:
-            moved = dataclasses.replace(upstream, health=health, shed_limit=limit)
+            moved = change(upstream, health=health, shed_limit=limit)
             group = replace_upstream(group, moved)
     return passed(group, now)
 
--- a/comfreyusher/peering/__init__.py
+++ b/comfreyusher/peering/__init__.py
@@ -1,21 +1,23 @@
 """Messages between nodes over TCP: thrift frames, authentication, liveness."""
 
 from comfreyusher.peering._codec import (
+    DECODE_ERRORS,
     CodecError,
     Frames,
     decode_message,
     encode_message,
 )
-from comfreyusher.peering._struct import WireStruct, wire_struct
+from comfreyusher.peering._struct import read_struct, write_struct
 from comfreyusher.peering._task import PeerAddresses, PeerTask
 
 __all__ = [
+    "DECODE_ERRORS",
     "CodecError",
     "Frames",
     "PeerAddresses",
     "PeerTask",
-    "WireStruct",
     "decode_message",
     "encode_message",
-    "wire_struct",
+    "read_struct",
+    "write_struct",
 ]
--- a/comfreyusher/peering/_codec.py
+++ b/comfreyusher/peering/_codec.py
@@ -1,25 +1,26 @@
 """Encoding of peer messages: thrift's compact protocol in length frames."""
 
+import dataclasses
 import re
 import struct
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.Thrift import TException
+from thrift.Thrift import TException, TType
 from thrift.transport.TTransport import TMemoryBuffer
-from thrift.TSerialization import serialize
 
 from comfreyusher import messages
 from comfreyusher.errors import ComfreyusherError
 from comfreyusher.peering._handshake import Challenge, Hello, Ping
-from comfreyusher.peering._struct import wire_struct
+from comfreyusher.peering._struct import (
+    FACTORY,
+    WRITER,
+    restore_enums,
+    wire_struct,
+)
 from comfreyusher.peering.gen import ttypes
 
 MAX_FRAME_BYTES = 16 << 20
 MAX_GREETING_BYTES = 4096
 LENGTH = struct.Struct(">I")
-FACTORY = TCompactProtocolAcceleratedFactory(
-    string_length_limit=MAX_FRAME_BYTES, container_length_limit=1 << 20
-)
 DECODE_ERRORS = (
     TException,
     EOFError,
@@ -67,36 +68,62 @@
 )
 FIELD_OF = {cls: _snake(cls.__name__) for cls in CLASSES}
 CLASS_OF = {field: cls for cls, field in FIELD_OF.items()}
-FIELD_OF_NUMBER = {
-    spec[0]: spec[2] for spec in ttypes.Envelope.thrift_spec if spec is not None
+NUMBER_OF = {
+    spec[2]: spec[0] for spec in ttypes.Envelope.thrift_spec if spec is not None
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sealed:
+    """An envelope around one message."""
+
+    body: object
+
+
+class Opened:
+    """An envelope that was read; the decoder sets the fields it finds."""
+
+
+def _envelope_spec(cls):
+    """Return the specification of an envelope that holds one message class."""
+    wire = wire_struct(cls)
+    number = NUMBER_OF[FIELD_OF[cls]]
+    field = (number, TType.STRUCT, "body", [wire.cls, wire.spec], None)
+    return (None,) * number + (field,)
+
+
 def encode_message(body):
     """Return the frame of a message."""
-    envelope = ttypes.Envelope()
-    setattr(envelope, FIELD_OF[type(body)], wire_struct(type(body)).to_struct(body))
-    data = serialize(envelope, FACTORY)
+    cls = type(body)
+    data = WRITER._fast_encode(Sealed(body), [Sealed, SPEC_OF[cls]])
     return LENGTH.pack(len(data)) + data
 
 
 def decode_message(data):
     """Return the message in a frame's bytes, or raise ``CodecError``."""
-    envelope = ttypes.Envelope()
+    reader = FACTORY.getProtocol(TMemoryBuffer(data))
     try:
-        decode_struct(envelope, data)
-        for field, cls in CLASS_OF.items():
-            value = getattr(envelope, field)
-            if value is not None:
-                return wire_struct(cls).from_struct(value)
+        opened = reader._fast_decode(None, reader, [Opened, READ_SPEC])
+        for body in vars(opened).values():
+            return restore_enums(body, wire_struct(type(body)).enums)
     except DECODE_ERRORS as error:
         raise CodecError(f"unreadable message: {error}") from error
     raise CodecError("a frame without a known message")
 
 
-def decode_struct(target, data):
-    """Fill a thrift struct from bytes."""
-    target.read(FACTORY.getProtocol(TMemoryBuffer(data)))
+SPEC_OF = {cls: _envelope_spec(cls) for cls in CLASSES}
+READ_SPEC = tuple(
+    None
+    if spec is None
+    else (
+        spec[0],
+        TType.STRUCT,
+        spec[2],
+        [CLASS_OF[spec[2]], wire_struct(CLASS_OF[spec[2]]).spec],
+        None,
+    )
+    for spec in ttypes.Envelope.thrift_spec
+)
 
 
 class Frames:
--- a/comfreyusher/peering/_handshake.py
+++ b/comfreyusher/peering/_handshake.py
@@ -49,8 +49,7 @@
 def is_proven(keys, nonce, hello):
     """Tell whether a hello was made with one of the keys."""
     return any(
-        hmac.compare_digest(prove(key, nonce, hello.node), hello.proof)
-        for key in keys
+        hmac.compare_digest(prove(key, nonce, hello.node), hello.proof) for key in keys
     )
 
 
--- a/comfreyusher/peering/gen/ttypes.py
+++ b/comfreyusher/peering/gen/ttypes.py
@@ -16,86 +16,6 @@
 all_structs = []
 
 
-class Header(object):
-    """
-    Attributes:
-     - name
-     - value
-
-    """
-
-    __slots__ = (
-        'name',
-        'value',
-    )
-
-
-    def __init__(self, name=None, value=None,):
-        self.name = name
-        self.value = value
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.name = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.value = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Header')
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 1)
-            oprot.writeBinary(self.name)
-            oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.STRING, 2)
-            oprot.writeBinary(self.value)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class WorkKey(object):
     """
     Attributes:
@@ -224,8 +144,12 @@
                     self.headers = []
                     (_etype3, _size0) = iprot.readListBegin()
                     for _i4 in range(_size0):
-                        _elem5 = Header()
-                        _elem5.read(iprot)
+                        _elem5 = []
+                        (_etype9, _size6) = iprot.readListBegin()
+                        for _i10 in range(_size6):
+                            _elem11 = iprot.readBinary()
+                            _elem5.append(_elem11)
+                        iprot.readListEnd()
                         self.headers.append(_elem5)
                     iprot.readListEnd()
                 else:
@@ -255,9 +179,12 @@
             oprot.writeFieldEnd()
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter6 in self.headers:
-                iter6.write(oprot)
+            oprot.writeListBegin(TType.LIST, len(self.headers))
+            for iter12 in self.headers:
+                oprot.writeListBegin(TType.STRING, len(iter12))
+                for iter13 in iter12:
+                    oprot.writeBinary(iter13)
+                oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version is not None:
@@ -327,11 +254,15 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Header()
-                        _elem12.read(iprot)
-                        self.headers.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = []
+                        (_etype23, _size20) = iprot.readListBegin()
+                        for _i24 in range(_size20):
+                            _elem25 = iprot.readBinary()
+                            _elem19.append(_elem25)
+                        iprot.readListEnd()
+                        self.headers.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -356,9 +287,12 @@
             oprot.writeFieldEnd()
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter13 in self.headers:
-                iter13.write(oprot)
+            oprot.writeListBegin(TType.LIST, len(self.headers))
+            for iter26 in self.headers:
+                oprot.writeListBegin(TType.STRING, len(iter26))
+                for iter27 in iter26:
+                    oprot.writeBinary(iter27)
+                oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reason is not None:
@@ -2303,10 +2237,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.declarations = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.declarations.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.declarations.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2339,8 +2273,8 @@
         if self.declarations is not None:
             oprot.writeFieldBegin('declarations', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.declarations))
-            for iter20 in self.declarations:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter34 in self.declarations:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2419,10 +2353,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readBinary()
-                        self.entries.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readBinary()
+                        self.entries.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2451,8 +2385,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter27 in self.entries:
-                oprot.writeBinary(iter27)
+            for iter41 in self.entries:
+                oprot.writeBinary(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2915,7 +2849,7 @@
         return not (self == other)
 
 
-class MemberState(object):
+class MemberRecord(object):
     """
     Attributes:
      - node
@@ -3033,7 +2967,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('MemberState')
+        oprot.writeStructBegin('MemberRecord')
         if self.node is not None:
             oprot.writeFieldBegin('node', TType.STRING, 1)
             oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
@@ -3103,7 +3037,7 @@
         return not (self == other)
 
 
-class Gossip(object):
+class GossipMessage(object):
     """
     Attributes:
      - sender
@@ -3165,11 +3099,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberState()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberRecord()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3187,7 +3121,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Gossip')
+        oprot.writeStructBegin('GossipMessage')
         if self.sender is not None:
             oprot.writeFieldBegin('sender', TType.STRING, 1)
             oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
@@ -3207,8 +3141,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter34 in self.members:
-                iter34.write(oprot)
+            for iter48 in self.members:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.offset is not None:
@@ -3238,12 +3172,6 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Header)
-Header.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'name', 'BINARY', None, ),  # 1
-    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
-)
 all_structs.append(WorkKey)
 WorkKey.thrift_spec = (
     None,  # 0
@@ -3255,14 +3183,14 @@
     None,  # 0
     (1, TType.STRING, 'method', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
-    (3, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 3
+    (3, TType.LIST, 'headers', (TType.LIST, (TType.STRING, 'BINARY', False), False), None, ),  # 3
     (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
 )
 all_structs.append(AnswerHead)
 AnswerHead.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'status', None, None, ),  # 1
-    (2, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 2
+    (2, TType.LIST, 'headers', (TType.LIST, (TType.STRING, 'BINARY', False), False), None, ),  # 2
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
 )
 all_structs.append(Challenge)
@@ -3470,8 +3398,8 @@
     (37, TType.STRUCT, 'copy_stored', [CopyStored, None], None, ),  # 37
     (38, TType.STRUCT, 'offset_asked', [OffsetAsked, None], None, ),  # 38
 )
-all_structs.append(MemberState)
-MemberState.thrift_spec = (
+all_structs.append(MemberRecord)
+MemberRecord.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
@@ -3485,14 +3413,14 @@
     (10, TType.I64, 'version', None, None, ),  # 10
     (11, TType.I64, 'offset', None, None, ),  # 11
 )
-all_structs.append(Gossip)
-Gossip.thrift_spec = (
+all_structs.append(GossipMessage)
+GossipMessage.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
     (2, TType.I32, 'kind', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRING, 'target', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'members', (TType.STRUCT, [MemberState, None], False), None, ),  # 5
+    (5, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 5
     (6, TType.I64, 'offset', None, None, ),  # 6
 )
 fix_spec(all_structs)
--- a/comfreyusher/peering/peer.thrift
+++ b/comfreyusher/peering/peer.thrift
@@ -1,12 +1,12 @@
 // Messages between nodes. Regenerate with extras/generate_thrift.sh.
 namespace py comfreyusher.peering.gen
 
-struct Header { 1: binary name; 2: binary value }
+// Headers are lists of name and value pairs.
 struct WorkKey { 1: string node; 2: i64 number }
 struct RequestHead {
-  1: string method; 2: string target; 3: list<Header> headers; 4: string version
+  1: string method; 2: string target; 3: list<list<binary>> headers; 4: string version
 }
-struct AnswerHead { 1: i32 status; 2: list<Header> headers; 3: string reason }
+struct AnswerHead { 1: i32 status; 2: list<list<binary>> headers; 3: string reason }
 
 struct Challenge { 1: binary nonce }
 struct Hello { 1: string node; 2: binary proof }
@@ -69,12 +69,12 @@
   38: optional OffsetAsked offset_asked; 36: optional CopyAsked copy_asked; 37: optional CopyStored copy_stored
 }
 
-struct MemberState {
+struct MemberRecord {
   1: string node; 2: string name; 3: string host; 4: i32 gossip_port;
   5: i32 peer_port; 6: string data_centre; 7: string region;
   8: i64 incarnation; 9: i32 standing; 10: i64 version; 11: i64 offset
 }
-struct Gossip {
+struct GossipMessage {
   1: string sender; 2: i32 kind; 3: i64 sequence; 4: string target;
-  5: list<MemberState> members; 6: i64 offset
+  5: list<MemberRecord> members; 6: i64 offset
 }
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -2,8 +2,8 @@
 
 from comfreyusher.platform._calls import (
     Append,
-    AppendFailed,
     Appended,
+    AppendFailed,
     ListRead,
     LogRecord,
     Read,
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-from typing import Any
 
 import immutables
 import msgspec
@@ -20,8 +19,8 @@
 )
 from comfreyusher.platform._calls import (
     Append,
-    AppendedAnswer,
     Appended,
+    AppendedAnswer,
     AppendFailed,
     ListRead,
     LogPage,
--- a/comfreyusher/routing/_table.py
+++ b/comfreyusher/routing/_table.py
@@ -10,6 +10,7 @@
 import immutables
 
 from comfreyusher.declarations import digest_key
+from comfreyusher.flow import change
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +46,7 @@
     """
     for key, entry in _changed(table.entries, entries):
         table = _replace_entry(table, table.entries.get(key), entry)
-    return dataclasses.replace(table, entries=entries)
+    return change(table, entries=entries)
 
 
 def find_route(table, method, host, target):
@@ -93,7 +94,7 @@
     kind = after.record.kind
     if kind == "profile":
         profiles = table.profiles.set(after.value.name, after.value)
-        return dataclasses.replace(table, profiles=profiles)
+        return change(table, profiles=profiles)
     old = before.value if before else None
     if kind == "customer":
         return _replace_customer(table, old, after.value)
@@ -108,7 +109,7 @@
     for digest in () if after.closed else after.key_digests:
         if digest not in customers:
             customers = customers.set(digest, after.name)
-    return dataclasses.replace(table, customers=customers)
+    return change(table, customers=customers)
 
 
 def _replace_service(table, before, after):
@@ -125,4 +126,4 @@
         pairs = routes.get(key, ()) + ((after.name, route),)
         routes = routes.set(key, tuple(sorted(pairs, key=lambda pair: pair[0])))
     services = table.services.set(after.name, after)
-    return dataclasses.replace(table, routes=routes, services=services)
+    return change(table, routes=routes, services=services)
--- a/comfreyusher/settings/_model.py
+++ b/comfreyusher/settings/_model.py
@@ -167,9 +167,7 @@
     leave_delay_s: Annotated[float, Meta(ge=0)] = field(
         1.0, "Time between telling peers and closing the listener."
     )
-    drain_timeout_s: PositiveS = field(
-        3600.0, "Longest wait for requests in flight."
-    )
+    drain_timeout_s: PositiveS = field(3600.0, "Longest wait for requests in flight.")
     flush_timeout_s: PositiveS = field(
         30.0, "Longest wait for the log to take account entries."
     )
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -6,6 +6,7 @@
 
 from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
 from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
     InMemoryMetricReader,
@@ -42,6 +43,15 @@
     attributes: dict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKind:
+    """What requests are counted by."""
+
+    service: str
+    outcome: str
+    status: int
+
+
 class TelemetryTask(Task):
     """Owns the meters, the exporters and the newest spans."""
 
@@ -69,8 +79,12 @@
 
     def _create_instruments(self):
         meter = self.provider.get_meter("comfreyusher")
-        self.requests = meter.create_counter(
-            "comfreyusher.requests", "1", "Requests by service, outcome and status."
+        self.request_counts = collections.Counter()
+        self.requests = meter.create_observable_counter(
+            "comfreyusher.requests",
+            [self.observe_requests],
+            "1",
+            "Requests by service, outcome and status.",
         )
         self.duration = meter.create_histogram(
             "comfreyusher.request.duration", "s", "Time from head to end of answer."
@@ -81,15 +95,25 @@
 
     def measure(self, measured):
         """Count a request."""
-        attributes = {
-            "comfreyusher.service": measured.service,
-            "comfreyusher.outcome": measured.outcome,
-            "http.response.status_code": measured.status,
-        }
-        self.requests.add(1, attributes)
+        counted = RequestKind(measured.service, measured.outcome, measured.status)
+        self.request_counts[counted] += 1
         service = {"comfreyusher.service": measured.service}
         self.duration.record(measured.duration_s, service)
 
+    def observe_requests(self, options):
+        """Return the counts when a reader collects them."""
+        return [
+            Observation(
+                count,
+                {
+                    "comfreyusher.service": kind.service,
+                    "comfreyusher.outcome": kind.outcome,
+                    "http.response.status_code": kind.status,
+                },
+            )
+            for kind, count in list(self.request_counts.items())
+        ]
+
     def count_ejection(self, ejected):
         """Count an ejection."""
         attributes = {
--- a/comfreyusher/telemetry/_trace.py
+++ b/comfreyusher/telemetry/_trace.py
@@ -52,5 +52,5 @@
 
 def derive_context(parent, name):
     """Return the context of a child span with a name unique in its parent."""
-    digest = xxhash.xxh64_intdigest(f"{parent.span_id:016x}/{name}")
+    digest = xxhash.xxh64_intdigest(f"{parent.span_id:016x}/{name}".encode())
     return TraceContext(parent.trace_id, digest or 1, parent.sampled)
--- /dev/null
+++ b/extras/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: demo, benchmarks, capacity, packaging."""
--- a/standins/_process.py
+++ b/standins/_process.py
@@ -2,16 +2,14 @@
 
 import json
 
-from circuits import BaseComponent, handler
+from circuits import handler
 
-from comfreyusher.flow import Poller, TimerService, bind_listener
+from comfreyusher.flow import Poller, Root, TimerService, bind_listener
 from comfreyusher.http import HttpServerTask
 
 
-class Root(BaseComponent):
-    """Root of the component tree."""
-
-    channel = "*"
+class StandinRoot(Root):
+    """Ends the process at a signal."""
 
     @handler("signal", channel="*")
     def on_signal(self, signo, stack):
@@ -21,7 +19,7 @@
 
 def run_standin(task, host, port):
     """Serve ``task`` on an address until a signal comes."""
-    root = Root()
+    root = StandinRoot()
     poller = Poller()
     poller.register(root)
     TimerService().register(root)
