Prove decisions by properties; mend four faults that they found

Each property failed first on this tree, and passes after the change. - Work that may have run in an earlier dispatch was told as not run when its last dispatch was unsent: it is told as unknown now. - Silence was not counted when an answer and a dispatch had the same time. - A frozen node never heard that it counted as dead, so it never came back: an answer to its ping now carries its own record. - After retention, a fresh node kept a record that had lost, because its winner was forgotten: a restated record now replaces it at the same revision. Ruled out for the last: refusing all records on an unknown base, which would refuse the first publication of every name.

--- a/comfreyusher/declarations/_fold.py
+++ b/comfreyusher/declarations/_fold.py
@@ -109,11 +109,17 @@
 
 
 def _restate(catalogue, key, current, entry):
-    """Take a restated record unless a newer revision is in force."""
+    """Take a restated record unless a newer revision is in force.
+
+    Only nodes that had a record in force restate it. So it also replaces a
+    record of the same revision that lost, but whose winner the log forgot.
+    """
     if current is None or entry.record.revision > current.record.revision:
         return _put(catalogue, key, entry)
     if entry.record.revision < current.record.revision:
         return catalogue
+    if entry.record.publish_id != current.record.publish_id:
+        return _put(catalogue, key, entry)
     stated = change(current, stated_ms=entry.stated_ms)
     entries = catalogue.entries.set(key, stated)
     return change(catalogue, entries=entries)
--- a/comfreyusher/membership/_decide.py
+++ b/comfreyusher/membership/_decide.py
@@ -101,13 +101,11 @@
     if sender is None:
         return stopped(state, None)
     step = _with_news(state, settings)
+    news = step.item
+    if sender.standing is not MemberStanding.ALIVE:
+        news += (sender,)  # so that a member counted as dead can refute it
     reply = _send_to(
-        step.state,
-        sender,
-        GossipKind.ACK,
-        message.sequence,
-        message.target,
-        step.item,
+        step.state, sender, GossipKind.ACK, message.sequence, message.target, news
     )
     return stopped(step.state, None, reply)
 
--- a/comfreyusher/owner/_offers.py
+++ b/comfreyusher/owner/_offers.py
@@ -126,8 +126,11 @@
     return stopped(step.state, work, cancel, *step.messages)
 
 
-def requeue(group, work, now):
-    """Put work back to its queue for another upstream."""
+def requeue(group, work, may_have_run):
+    """Put work back to its queue for another upstream.
+
+    ``may_have_run`` tells that the dispatch that ended may have taken effect.
+    """
     tried = work.tried | {work.upstream}
     if tried >= set(group.upstreams):
         tried = frozenset()
--- a/comfreyusher/owner/_replies.py
+++ b/comfreyusher/owner/_replies.py
@@ -86,7 +86,7 @@
         group = replace_upstream(group, lowered)
     messages = _drop(group, reply).messages
     if may_repeat_unrun(group, work):
-        step = requeue(group, work, now)
+        step = requeue(group, work, may_have_run=False)
         return stopped(step.state, work, *messages)
     reason = "every upstream tried refused the request"
     step = refuse(group, work, Outcome.NOT_RUN, 503, reason, 1000)
@@ -161,7 +161,7 @@
         return crash
     if may_repeat_run(group, work):
         group = spend_retry(group)
-        return requeue(group, work, now)
+        return requeue(group, work, may_have_run=True)
     reason = f"the upstream broke off: {failure.reason}"
     return refuse(group, work, Outcome.UNKNOWN, 502, reason)
 
@@ -169,7 +169,7 @@
 def _take_unreached(group, failure, work, now):
     group = judge_bad(group, work.upstream, unreachable=True)
     if may_repeat_unrun(group, work):
-        return requeue(group, work, now)
+        return requeue(group, work, may_have_run=False)
     reason = f"no upstream could be reached: {failure.reason}"
     return refuse(group, work, Outcome.NOT_RUN, 503, reason, 1000)
 
--- a/comfreyusher/owner/_settle.py
+++ b/comfreyusher/owner/_settle.py
@@ -91,7 +91,12 @@
 
 
 def refuse(group, work, outcome, status, reason, retry_after_ms=0):
-    """End work with a refusal to its entry node."""
+    """End work with a refusal to its entry node.
+
+    Work that may have run in an earlier dispatch is never told as not run.
+    """
+    if work.may_have_run and outcome is Outcome.NOT_RUN:
+        outcome, retry_after_ms = Outcome.UNKNOWN, 0
     refusal = Refusal(work.offer.key, outcome, status, reason, retry_after_ms)
     if work.offer.key in group.works:
         group = forget(group, work)
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -67,6 +67,7 @@
 
     ``ready_s`` is when the whole request was on its way to the upstream, or 0.
     ``held`` keeps body bytes until the upstream's socket took the first.
+    ``may_have_run`` is set once an earlier dispatch may have taken effect.
     """
 
     offer: Offer
@@ -81,6 +82,7 @@
     stalls: int = 0
     started: bool = False
     credited: bool = False
+    may_have_run: bool = False
     tried: frozenset = frozenset()
 
 
--- a/comfreyusher/owner/_watch.py
+++ b/comfreyusher/owner/_watch.py
@@ -124,7 +124,7 @@
     if work.stalls == 0:
         return True
     upstream = group.upstreams.get(work.upstream)
-    return upstream is not None and upstream.health.last_answer_s < work.ready_s
+    return upstream is not None and upstream.health.last_answer_s <= work.ready_s
 
 
 def eject_failing(group, now):
@@ -197,7 +197,7 @@
 def _rescue(group, work, now):
     cancel = to_upstream(SendCancel(Attempt(work.offer.key, work.attempts)))
     group = spend_retry(release(group, work))
-    step = requeue(group, work, now)
+    step = requeue(group, work, may_have_run=True)
     return stopped(step.state, None, cancel)
 
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,195 @@
+"""The membership protocol on a fake network, and ownership of groups."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreyusher.flow import change
+from comfreyusher.membership import (
+    GossipKind,
+    GossipMessage,
+    GossipSettings,
+    MemberRecord,
+    MemberStanding,
+    Ownership,
+    begin_leaving,
+    hear,
+    join,
+    live_members,
+    new_state,
+    rank_owners,
+    run_period,
+    update_view,
+)
+from comfreyusher.node import derive_roles
+
+SETTINGS = GossipSettings()
+STEP_S = 0.2
+
+
+def record(number, incarnation=1, region="r"):
+    """Return the record of a node; its port tells which one it is."""
+    name = f"vm-{number}"
+    return MemberRecord(
+        f"{name}.{incarnation}", name, "h", number, number, "d", region, incarnation
+    )
+
+
+class Network:
+    """States of nodes, and datagrams that may be cut one way."""
+
+    def __init__(self, count, seed=1):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.states = {n: new_state(record(n)) for n in range(1, count + 1)}
+        self.cut = set()
+        self.frozen = set()
+        self.mail = []
+        for number in list(self.states):
+            self.apply(number, join(self.states[number], [("h", 1)]))
+        self.deliver()
+
+    def shuffle(self, names):
+        mixed = list(names)
+        self.random.shuffle(mixed)
+        return tuple(mixed)
+
+    def apply(self, number, step):
+        self.states[number] = step.state
+        self.mail += [(number, send.port, send.message) for send in step.messages]
+
+    def deliver(self):
+        while self.mail:
+            sender, target, message = self.mail.pop(0)
+            dead = target not in self.states or target in self.frozen
+            if dead or (sender, target) in self.cut:
+                continue
+            state = self.states[target]
+            self.apply(target, hear(state, message, self.now, SETTINGS))
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_S)):
+            self.now += STEP_S
+            for number in list(self.states):
+                if number not in self.frozen:
+                    state = self.states[number]
+                    step = run_period(state, self.now, SETTINGS, self.shuffle)
+                    self.apply(number, step)
+            self.deliver()
+
+    def seen_by(self, number):
+        return [member.gossip_port for member in live_members(self.states[number])]
+
+
+class GossipTests(unittest.TestCase):
+    def test_all_nodes_find_each_other_from_one_seed(self):
+        network = Network(12)
+        network.run(5)
+        for number in network.states:
+            self.assertEqual(network.seen_by(number), sorted_names(12))
+
+    def test_dead_node_is_dropped_everywhere(self):
+        network = Network(8)
+        network.run(5)
+        del network.states[8]
+        network.run(20)
+        for number in network.states:
+            self.assertNotIn(8, network.seen_by(number))
+
+    def test_one_way_cut_kills_nobody(self):
+        network = Network(6)
+        network.run(5)
+        network.cut = {(1, 2)}
+        network.run(60)
+        for number in network.states:
+            self.assertEqual(network.seen_by(number), sorted_names(6))
+
+    def test_frozen_node_comes_back_by_refuting(self):
+        network = Network(6)
+        network.run(5)
+        network.frozen = {3}
+        network.run(20)
+        self.assertNotIn(3, network.seen_by(1))
+        network.frozen = set()
+        network.run(20)
+        self.assertEqual(network.seen_by(1), sorted_names(6))
+
+    def test_leaving_node_is_known_at_once(self):
+        network = Network(6)
+        network.run(5)
+        step = begin_leaving(network.states[4], SETTINGS)
+        network.apply(4, step)
+        network.deliver()
+        for number in (1, 2, 3, 5, 6):
+            self.assertNotIn(4, network.seen_by(number))
+
+    def test_new_incarnation_replaces_the_dead_one(self):
+        network = Network(4)
+        network.run(5)
+        del network.states[4]
+        network.run(15)
+        network.states[4] = new_state(record(4, incarnation=2))
+        network.apply(4, join(network.states[4], [("h", 1)]))
+        network.deliver()
+        network.run(10)
+        nodes = {member.node for member in live_members(network.states[1])}
+        self.assertIn("vm-4.2", nodes)
+        self.assertNotIn("vm-4.1", nodes)
+
+    @given(st.permutations(range(8)), st.lists(st.integers(0, 7), max_size=8))
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    def test_records_win_alike_in_any_order_and_number(self, order, repeated):
+        variants = [
+            change(record(9, incarnation), standing=standing, version=version)
+            for incarnation in (1, 2)
+            for version in (0, 1)
+            for standing in (MemberStanding.ALIVE, MemberStanding.LEAVING)
+        ]
+        state = new_state(record(1))
+        for index in [*order, *repeated]:
+            message = GossipMessage("x.1", GossipKind.PAGE, members=(variants[index],))
+            state = hear(state, message, 0.0, SETTINGS).state
+        self.assertEqual(state.members["vm-9"], variants[-1])
+
+
+def sorted_names(count):
+    """Return node numbers in the order of their names."""
+    return [n for _, n in sorted((f"vm-{n}", n) for n in range(1, count + 1))]
+
+
+class OwnershipTests(unittest.TestCase):
+    @given(
+        st.lists(st.sets(st.integers(1, 12), min_size=1), min_size=1, max_size=6),
+    )
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    def test_incremental_rankings_equal_fresh_ones(self, views):
+        ownership = Ownership()
+        for view in views:
+            members = [record(n, region=f"r{n % 2}") for n in sorted(view)]
+            ownership = update_view(ownership, members)
+            for group in range(5):
+                ranking = rank_owners(ownership, f"g{group}", "r0")
+                ownership = ranking.ownership
+                fresh = rank_owners(
+                    update_view(Ownership(), members), f"g{group}", "r0"
+                )
+                self.assertEqual(ranking.owners, fresh.owners)
+
+    def test_loss_of_a_node_moves_only_its_groups(self):
+        members = [record(n) for n in range(1, 21)]
+        full = update_view(Ownership(), members)
+        less = update_view(Ownership(), members[:-1])
+        for group in range(200):
+            before = rank_owners(full, f"g{group}", "r").owners[0]
+            after = rank_owners(less, f"g{group}", "r").owners[0]
+            if before != members[-1]:
+                self.assertEqual(before, after)
+
+    def test_every_data_centre_has_readers_and_the_fleet_one_carrier(self):
+        members = [record(n) for n in range(1, 9)]
+        roles = [derive_roles(one, members, None) for one in members]
+        self.assertEqual(sum(role.reader for role in roles), 2)
+        self.assertEqual(sum(role.carrier for role in roles), 1)
+        self.assertTrue(all(role.buddy for role in roles))
