--- a/comfreyusher/http/_server.py
+++ b/comfreyusher/http/_server.py
@@ -253,7 +253,8 @@
         old = state.head.version == "1.0"
         streaming = not framed and length is None and not bare
         state.chunked = streaming and not old
-        if state.receiving or answer.close or self.closing_idle or state.ended:
+        last = state.ended and not state.waiting
+        if state.receiving or answer.close or self.closing_idle or last:
             state.close_after = True
         state.close_after = state.close_after or (streaming and old)
         data = write_answer_head(head, state.chunked, state.close_after, length)
--- a/comfreyusher/owner/_choose.py
+++ b/comfreyusher/owner/_choose.py
@@ -29,7 +29,8 @@
     if is_suspect(group, work) and runs_suspect(group, upstream):
         return False
     if group.is_long(work):
-        return upstream.long_in_flight < long_limit(group, upstream)
+        free = upstream.long_in_flight < long_limit(group, upstream)
+        return free and long_running(group) < group_long_limit(group)
     return True
 
 
@@ -50,6 +51,21 @@
     return max(1, upstream.slots - math.ceil(reserved))
 
 
+def long_running(group):
+    """Return how many long requests run in the group."""
+    return sum(upstream.long_in_flight for upstream in group.upstreams.values())
+
+
+def group_long_limit(group):
+    """Return how many long requests the group may run at once.
+
+    Long work cannot be interrupted, so it leaves as many slots as short work
+    has recently needed at once, even when that is more than the reserve.
+    """
+    slots = sum(upstream.slots for upstream in group.upstreams.values())
+    return max(1, slots - math.ceil(group.short_peak))
+
+
 def is_suspect(group, work):
     """Tell whether this request was in flight on an upstream that crashed."""
     return work.offer.fingerprint in group.suspicions
@@ -74,6 +90,8 @@
         if work_class is WorkClass.LONG:
             slots = min(slots, long_limit(group, upstream))
         total += slots
+    if work_class is WorkClass.LONG:
+        return min(total, group_long_limit(group))
     return total
 
 
--- a/comfreyusher/owner/_offers.py
+++ b/comfreyusher/owner/_offers.py
@@ -74,9 +74,19 @@
         works=group.works.set(work.offer.key, work),
         retry_tokens=min(RETRY_TOKENS_MAX, tokens),
     )
+    group = change(group, short_peak=max(group.short_peak, count_short(group)))
     return passed(group, arrival)
 
 
+def count_short(group):
+    """Return how many short requests run or wait."""
+    running = sum(
+        upstream.in_flight - upstream.long_in_flight
+        for upstream in group.upstreams.values()
+    )
+    return running + len(group.short_queue)
+
+
 ADMISSION = pipe(ignore_repeated, refuse_unfit, refuse_late, join_queue)
 
 
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -96,7 +96,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Group:
-    """All that the owner of a group knows."""
+    """All that the owner of a group knows.
+
+    ``short_peak`` is the recent largest number of short requests that ran or
+    waited at once; it decays with time.
+    """
 
     plan: Plan
     upstreams: immutables.Map = immutables.Map()
@@ -109,6 +113,7 @@
     long_limit_s: float = 0.0
     short_mean_s: float = 0.0
     long_mean_s: float = 0.0
+    short_peak: float = 0.0
     retry_tokens: float = RETRY_TOKENS_MAX
     suspicions: immutables.Map = immutables.Map()
     picks: int = 0
--- a/comfreyusher/owner/_watch.py
+++ b/comfreyusher/owner/_watch.py
@@ -32,6 +32,7 @@
 
 MAX_STALL_COUNTS = 3
 SHED_RECOVERY_PER_TICK = 0.1
+PEAK_KEPT_PER_TICK = 0.995
 COMMON_CAUSE_SHARE = 0.5
 OPINION_WAIT_S = 1.0
 NODE = "node"
@@ -59,6 +60,7 @@
         short_mean_s=_mean(group.recent_short_s),
         long_limit_s=10 * stall_limit(group.recent_long_s, detection),
         long_mean_s=_mean(group.recent_long_s),
+        short_peak=group.short_peak * PEAK_KEPT_PER_TICK,
     )
     return passed(expire_suspicions(group, now), now)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -100,6 +100,7 @@
         self.platform = None
         self.nodes = {}
         self.upstreams = {}
+        self.links = {}
         self.environment = {
             **os.environ,
             "COMFREYUSHER_PEER_KEY": PEER_KEY,
@@ -145,6 +146,21 @@
         answer = requests.post(f"{self.platform.url}/vms", json=[vm], timeout=10)
         answer.raise_for_status()
 
+    def start_node_behind_link(self, name, place, changes=None):
+        """Start a node that others reach through a link that can be cut."""
+        tcp, udp, node_tcp = free_port(), free_port(), free_port()
+        found = {
+            "peers.port": node_tcp,
+            "peers.advertised_port": tcp,
+            "peers.advertised_gossip_port": udp,
+            **(changes or {}),
+        }
+        gossip_port = free_port()
+        self.links[name] = self._start_standin(
+            f"link of {name}", "standins.link", "0", tcp, udp, node_tcp, gossip_port
+        )
+        return self.start_node(name, place, found, gossip_port)
+
     def _start_standin(self, name, module, *arguments):
         command = [sys.executable, "-m", module, HOST, *map(str, arguments)]
         process = subprocess.Popen(
@@ -155,9 +171,9 @@
             raise FleetError(f"{name} did not start")
         return RunningStandin(name, process, json.loads(line)["port"])
 
-    def start_node(self, name, place, changes=None):
+    def start_node(self, name, place, changes=None, gossip_port=0):
         """Start a node and put it on the list."""
-        gossip_port = free_port()
+        gossip_port = gossip_port or free_port()
         settings = self._settings(name, place, gossip_port)
         for path, value in (changes or {}).items():
             part, _, field = path.partition(".")
@@ -301,7 +317,11 @@
 
     def stop(self):
         """End every process that this fleet started."""
-        running = [*self.nodes.values(), *self.upstreams.values()]
+        running = [
+            *self.nodes.values(),
+            *self.upstreams.values(),
+            *self.links.values(),
+        ]
         if self.platform is not None:
             running.append(self.platform)
         for one in running:
@@ -313,6 +333,7 @@
             one.process.stdout.close()
         self.nodes.clear()
         self.upstreams.clear()
+        self.links.clear()
 
 
 def wait_for(condition, what, timeout_s=START_TIMEOUT_S):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,8 +2,8 @@
 
 ``POST /log/STREAM`` appends, ``GET /log/STREAM?after=N&max=M&wait_ms=W``
 reads, ``GET /vms?after=V`` lists. ``POST /vms`` changes the list and
-``POST /control`` sets faults: ``delay_ms``, ``down``, ``lose_answers``,
-``retention_ms``, ``list_lag_ms``.
+``POST /control`` sets faults: ``delay_ms``, ``down`` (the log), ``list_down``,
+``lose_answers``, ``retention_ms``, ``list_lag_ms``.
 """
 
 import dataclasses
@@ -27,6 +27,7 @@
 
     delay_ms: int = 0
     down: bool = False
+    list_down: bool = False
     lose_answers: int = 0
     retention_ms: int = DEFAULT_RETENTION_MS
     list_lag_ms: int = 0
@@ -100,7 +101,7 @@
         )
         if control:
             self.control(exchange, path, received)
-        elif self.faults.down:
+        elif self.faults.list_down if path == "/vms" else self.faults.down:
             self.tell("web", AnswerBroken(exchange))
         elif self.faults.delay_ms:
             due_s = self.clock() + self.faults.delay_ms / 1000
--- a/tests/run.py
+++ b/tests/run.py
@@ -4,18 +4,20 @@
 and left out of the verdict.
 """
 
+import concurrent.futures
 import dataclasses
-import os
+import json
 import pathlib
+import re
 import subprocess
 import sys
-
-import nose2.main
-from behave.configuration import Configuration
-from behave.model import Status
-from behave.runner import Runner
+import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+FEATURES_AT_ONCE = 3
+FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): .*?\(([^()\s]+)\)", re.M)
+TESTS_RUN = re.compile(r"^Ran (\d+) tests?", re.M)
+SKIPPED = re.compile(r"skipped=(\d+)")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -37,32 +39,73 @@
 def run_units():
     """Run nose2 and return a check a test."""
     print("== nose2", flush=True)
-    os.chdir(ROOT)
-    program = nose2.main.PluggableTestProgram(
-        module=None,
-        argv=["nose2", "-s", "tests", "-t", ".", "-v"],
-        exit=False,
+    done = subprocess.run(
+        [sys.executable, "-m", "nose2", "-s", "tests", "-t", ".", "-v"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
     )
-    result = program.result
-    bad = {test.id() for test, _ in [*result.failures, *result.errors]}
-    skipped = len(result.skipped)
-    passed = result.testsRun - len(bad) - skipped
+    print(done.stdout, flush=True)
+    bad = set(FAILED_TEST.findall(done.stdout))
+    ran = TESTS_RUN.search(done.stdout)
+    count = int(ran.group(1)) if ran else 0
+    skipped = SKIPPED.search(done.stdout)
+    passed = count - len(bad) - (int(skipped.group(1)) if skipped else 0)
     checks = [Check(f"unit {number}", True) for number in range(passed)]
+    if not ran or (done.returncode and not bad):
+        checks.append(Check("nose2", False))
     return checks + [Check(name, False) for name in sorted(bad)]
 
 
 def run_scenarios():
-    """Run behave and return a check a scenario."""
+    """Run the features, some at a time, and return a check a scenario."""
     print("== behave", flush=True)
-    arguments = ["--no-capture", "--format", "progress2", "tests/scenarios"]
-    runner = Runner(Configuration(arguments))
-    runner.run()
-    checks = []
-    for feature in runner.features:
-        for scenario in feature.walk_scenarios():
-            name = f"{feature.filename}: {scenario.name}"
-            checks.append(Check(name, scenario.status == Status.passed))
-    return checks
+    features = sorted((ROOT / "tests" / "scenarios").glob("*.feature"))
+    with concurrent.futures.ThreadPoolExecutor(FEATURES_AT_ONCE) as pool:
+        found = list(pool.map(run_feature, features))
+    return [check for checks in found for check in checks]
+
+
+def run_feature(path):
+    """Run one feature in a process of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "report.json"
+        arguments = ["--no-capture", "-f", "json", "-o", str(report)]
+        done = subprocess.run(
+            [sys.executable, "-m", "behave", *arguments, str(path)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        try:
+            features = json.loads(report.read_text())
+        except (OSError, ValueError):
+            features = []
+    checks = list(read_report(path, features))
+    if not checks or not all(check.passed for check in checks):
+        print(done.stdout + done.stderr, flush=True)
+    return checks or [Check(path.name, False)]
+
+
+def read_report(path, features):
+    """Yield a check for each scenario of a JSON report."""
+    for feature in features:
+        for element in feature["elements"]:
+            name = f"{path.name}: {element['name']}"
+            passed = element.get("status") == "passed"
+            print(f"{'ok' if passed else 'FAILED':6} {name}", flush=True)
+            if not passed:
+                print_failure(element)
+            yield Check(name, passed)
+
+
+def print_failure(element):
+    """Print the step that failed, and why."""
+    for step in element["steps"]:
+        result = step.get("result", {})
+        if result.get("status") not in ("passed", None):
+            print(f"       {step['name']}: {result.get('error_message')}", flush=True)
 
 
 def read_known_red():
--- /dev/null
+++ b/tests/scenarios/environment.py
@@ -0,0 +1,27 @@
+"""Set-up of scenarios: every feature gets a fleet of its own processes."""
+
+from behave.model import Status
+
+from standins.fleet import Fleet
+
+
+def before_scenario(context, scenario):
+    """Give each scenario an empty fleet."""
+    context.fleet = Fleet()
+    context.answers = []
+    context.pending = []
+    context.keys = {}
+    context.notes = {}
+
+
+def after_scenario(context, scenario):
+    """Show the nodes' warnings of a failed scenario, and end all processes."""
+    for sender in context.pending:
+        sender.join(30)
+    failed = scenario.status == Status.failed
+    logs = list(context.fleet.folder.glob("*.log"))
+    context.fleet.stop()
+    for path in logs:
+        for line in path.read_text().splitlines():
+            if failed or "fault=" in line:
+                print(f"{path.name}: {line}")
--- /dev/null
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -0,0 +1,688 @@
+"""Steps in the words of operators and callers."""
+
+import collections
+import concurrent.futures
+import hashlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import parse
+import requests
+import uuid6
+from behave import given, register_type, then, when
+
+from extras.example import (
+    CUSTOMER_KEYS,
+    DUNANTUL_1,
+    NAGYALFOLD_1,
+    NAGYALFOLD_2,
+    NODE_PLACES,
+    PROFILES,
+    SLOTS,
+    headers_of,
+)
+from standins.fleet import wait_for
+
+
+@parse.with_pattern(r"node vm-\d+|the owner|the entry")
+def parse_node(text):
+    """Match the words for a node."""
+    return text
+
+
+@parse.with_pattern(r"\w+")
+def parse_word(text):
+    """Match one word."""
+    return text
+
+
+register_type(Node=parse_node, Word=parse_word)
+CUSTOMER = "kecskemet-tofu"
+PLACES = {
+    "nagyalfold-1": NAGYALFOLD_1,
+    "nagyalfold-2": NAGYALFOLD_2,
+    "nyugat-dunantul-1": DUNANTUL_1,
+}
+FAST = {
+    "name": "fast",
+    "floor_share": 0.5,
+    "max_wait_ms": 2000,
+    "slow_start_ms": 300,
+    "detection": {"min_stall_ms": 100, "first_stall_ms": 400, "ejection_ms": 3000},
+}
+ROUTES = [
+    {"prefix": "/sheets", "deadline_ms": 4000},
+    {
+        "prefix": "/bookings",
+        "methods": ["POST"],
+        "idempotent": False,
+        "deadline_ms": 4000,
+    },
+    {"prefix": "/uploads", "work_class": "long", "deadline_ms": 60000},
+]
+
+
+class Sender(threading.Thread):
+    """Sends one request in the background."""
+
+    def __init__(self, send):
+        super().__init__(daemon=True)
+        self.send = send
+        self.answer = None
+        self.start()
+
+    def run(self):
+        """Send and keep the answer, or the error."""
+        try:
+            self.answer = self.send()
+        except requests.RequestException as error:
+            self.answer = error
+
+
+# Fleet ---------------------------------------------------------------------
+
+
+@given("a fleet of {nodes:d} nodes before {upstreams:d} upstreams")
+def start_fleet(context, nodes, upstreams):
+    start(context, nodes, upstreams, linked=False)
+
+
+@given("a fleet of {nodes:d} nodes behind links before {upstreams:d} upstreams")
+def start_linked_fleet(context, nodes, upstreams):
+    start(context, nodes, upstreams, linked=True)
+
+
+def start(context, nodes, upstreams, linked):
+    """Start a fleet with one service, all upstreams in one region."""
+    fleet = context.fleet
+    fleet.start_platform()
+    places = (NAGYALFOLD_1, NAGYALFOLD_2)
+    for number in range(1, upstreams + 1):
+        fleet.start_upstream(f"up-{number}", "orders", places[number % 2], SLOTS)
+    for number in range(1, nodes + 1):
+        begin = fleet.start_node_behind_link if linked else fleet.start_node
+        begin(f"vm-{number}", NODE_PLACES[number % 4])
+    fleet.wait_ready()
+    first = fleet.nodes["vm-1"]
+    fleet.publish(first, "profile", FAST)
+    service = {
+        "name": "orders",
+        "profile": "fast",
+        "slots": {"nagyalfold": upstreams * SLOTS},
+        "routes": ROUTES,
+    }
+    fleet.publish(first, "service", service)
+    for name, key in CUSTOMER_KEYS.items():
+        report = fleet.publish_customer(first, name, key)
+    fleet.wait_in_force(report["offset"])
+    wait_for(lambda: upstreams_known(fleet), "upstreams to be known")
+
+
+def upstreams_known(fleet):
+    """Tell whether every node forwards to an upstream."""
+    answers = [
+        requests.get(f"{node.callers}/sheets/0", headers=headers_of(CUSTOMER))
+        for node in fleet.nodes.values()
+    ]
+    return all(answer.status_code == 200 for answer in answers)
+
+
+def owner_of(context, group="orders@nagyalfold"):
+    """Return the name of the node that owns a group now."""
+
+    def find():
+        for name, node in context.fleet.nodes.items():
+            if node.process.poll() is not None:
+                continue
+            status = context.fleet.status(node)
+            if any(owned["name"] == group for owned in status["groups"]):
+                return name
+        return None
+
+    return wait_for(find, f"an owner of {group}")
+
+
+def name_of(context, words):
+    """Return a node's name from ``node vm-1``, ``the owner`` or ``the entry``."""
+    if words == "the owner":
+        if "owner" not in context.notes:
+            context.notes["owner"] = owner_of(context)
+        return context.notes["owner"]
+    if words == "the entry":
+        return entry_of(context)
+    return words.removeprefix("node ")
+
+
+def entry_of(context):
+    """Return the name of a node that does not own the group."""
+    owner = name_of(context, "the owner")
+    return next(name for name in sorted(context.fleet.nodes) if name != owner)
+
+
+# Faults --------------------------------------------------------------------
+
+
+@when("{words:Node} is killed")
+def kill_node(context, words):
+    name = name_of(context, words)
+    context.fleet.stop_node(name, signal.SIGKILL)
+
+
+@when("{words:Node} is frozen")
+def freeze_node(context, words):
+    node = context.fleet.nodes[name_of(context, words)]
+    node.process.send_signal(signal.SIGSTOP)
+
+
+@when("{words:Node} goes on")
+def continue_node(context, words):
+    node = context.fleet.nodes[name_of(context, words)]
+    node.process.send_signal(signal.SIGCONT)
+
+
+@when("{words:Node} is told to end")
+def end_node(context, words):
+    node = context.fleet.nodes[name_of(context, words)]
+    context.notes["ending"] = node
+    node.process.send_signal(signal.SIGTERM)
+
+
+@then("it ends with status {status:d}")
+def check_end(context, status):
+    node = context.notes["ending"]
+    assert node.process.wait(30) == status, open(node.log_path).read()
+    del context.fleet.nodes[node.name]
+
+
+@when("what goes {direction} {words:Node} is cut")
+def cut_link(context, direction, words):
+    link = context.fleet.links[name_of(context, words)]
+    link.control(**{direction: True})
+
+
+@when("the links are whole again")
+def mend_links(context):
+    for link in context.fleet.links.values():
+        link.control(**{"to": False, "from": False})
+
+
+@given("the log is down")
+@when("the log is down")
+def log_down(context):
+    context.fleet.platform.control(down=True)
+
+
+@when("the log is up again")
+def log_up(context):
+    context.fleet.platform.control(down=False)
+
+
+@when("the log loses the answer to the next append")
+def lose_answer(context):
+    context.fleet.platform.control(lose_answers=1)
+
+
+@given("the log keeps records for {seconds:g} s")
+def set_retention(context, seconds):
+    context.fleet.platform.control(retention_ms=int(seconds * 1000))
+
+
+@when("upstream {name} {fault}")
+def set_fault(context, name, fault):
+    faults = {
+        "stalls": {"stall": True},
+        "stalls half of its work": {"stall_share": 0.5},
+        "flaps": {"stall": True, "flap_ms": 500},
+        "works again": {"stall": False, "stall_share": 0.0, "half_answer": False},
+        "drains": {"draining": True},
+        "answers half": {"half_answer": True},
+    }
+    context.fleet.upstreams[name].control(**faults[fault])
+
+
+@when("the list shows upstream {name} as leaving")
+def list_leaving(context, name):
+    context.fleet.list_upstream(name, "orders", NAGYALFOLD_1, SLOTS, "leaving")
+
+
+@when("{seconds:g} s pass")
+def let_time_pass(context, seconds):
+    time.sleep(seconds)
+
+
+# Requests --------------------------------------------------------------------
+
+
+def send(context, node, method, path, key="", body=None, customer=CUSTOMER, **more):
+    """Send one request through a node."""
+    headers = headers_of(customer, **more)
+    if key:
+        headers["Idempotency-Key"] = key
+    url = context.fleet.nodes[node].callers + path
+    return requests.request(method, url, headers=headers, data=body, timeout=60)
+
+
+def try_send(context, node, path, headers):
+    """Send a lookup, and return its answer or the error of a cut answer."""
+    try:
+        return send(context, node, "GET", path, **headers)
+    except requests.RequestException as error:
+        return error
+
+
+def key_named(context, name):
+    """Return the idempotency key that a scenario calls by a name."""
+    if name not in context.keys:
+        context.keys[name] = str(uuid6.uuid7())
+    return context.keys[name]
+
+
+@given("a key {name:Word} from {words:Node}")
+def mint_key(context, name, words):
+    node = name_of(context, words)
+    answer = send(context, node, "POST", "/.well-known/comfreyusher/idempotency-keys")
+    assert answer.status_code == 201, answer.text
+    context.keys[name] = answer.text.strip()
+
+
+@when("booking {name:Word} is sent through {words:Node}")
+def send_booking(context, name, words):
+    key = key_named(context, name)
+    node = name_of(context, words)
+    answer = send(context, node, "POST", "/bookings/1", key, b"b")
+    context.answers.append(answer)
+
+
+@when("booking {name:Word} taking {work_ms:d} ms is begun through {words:Node}")
+def begin_booking(context, name, work_ms, words):
+    key = key_named(context, name)
+    node = name_of(context, words)
+
+    def run():
+        return send(
+            context, node, "POST", "/bookings/1", key, b"b", work_ms=str(work_ms)
+        )
+
+    context.pending.append(Sender(run))
+    time.sleep(0.3)
+
+
+@when("booking {name:Word} is sent through every node at once {times:d} times")
+def send_everywhere(context, name, times):
+    key = key_named(context, name)
+    nodes = list(context.fleet.nodes) * times
+    with concurrent.futures.ThreadPoolExecutor(len(nodes)) as pool:
+        sends = [
+            pool.submit(
+                send, context, node, "POST", "/bookings/1", key, b"b", work_ms="50"
+            )
+            for node in nodes
+        ]
+        context.answers += [sending.result() for sending in sends]
+
+
+@when("{count:d} lookups are sent through every node")
+def send_lookups(context, count):
+    send_load(context, count, 8, work_ms="20")
+
+
+@when("{count:d} lookups of {work_ms:d} ms are sent through every node")
+def send_slow_lookups(context, count, work_ms):
+    send_load(context, count, 8, work_ms=str(work_ms))
+
+
+def send_load(context, count, threads, **headers):
+    """Send lookups through all nodes from a few threads each."""
+    nodes = list(context.fleet.nodes)
+    with concurrent.futures.ThreadPoolExecutor(threads * len(nodes)) as pool:
+        sends = [
+            pool.submit(try_send, context, node, f"/sheets/{n}", headers)
+            for n in range(count)
+            for node in nodes
+        ]
+        context.answers += [sending.result() for sending in sends]
+
+
+@when("a lookup that crashes upstreams is sent through {words:Node}")
+def send_poison(context, words):
+    node = name_of(context, words)
+    context.answers.append(send(context, node, "GET", "/sheets/poison", crash="yes"))
+
+
+@when("an upload of {megabytes:d} MB is begun through {words:Node}")
+def begin_upload(context, megabytes, words):
+    node = name_of(context, words)
+    digest = hashlib.sha256()
+    context.notes["digest"] = digest
+
+    def chunks():
+        for number in range(megabytes * 4):
+            chunk = bytes([number % 256]) * 262144
+            digest.update(chunk)
+            yield chunk
+            time.sleep(0.01)
+
+    def run():
+        return send(context, node, "PUT", "/uploads/scan", body=chunks())
+
+    context.pending.append(Sender(run))
+    time.sleep(0.3)
+
+
+@when("the pending requests have ended")
+def join_pending(context):
+    for sender in context.pending:
+        sender.join(60)
+        assert not sender.is_alive(), "a request got no answer"
+        context.answers.append(sender.answer)
+    context.pending = []
+
+
+@then("the upload arrived whole")
+def check_upload(context):
+    value = context.answers[-1].json()
+    assert value["digest"] == context.notes["digest"].hexdigest()
+
+
+# Answers ---------------------------------------------------------------------
+
+
+def outcome_of(answer):
+    """Return status and outcome of an answer as one text."""
+    if isinstance(answer, Exception):
+        return f"broken {type(answer).__name__}"
+    return f"{answer.status_code} {answer.headers.get('Comfreyusher-Outcome')}"
+
+
+def tally(context):
+    """Return how often each outcome was answered."""
+    return collections.Counter(outcome_of(answer) for answer in context.answers)
+
+
+@then("the answer is {status:d} {outcome}")
+def check_answer(context, status, outcome):
+    answer = context.answers[-1]
+    found = outcome_of(answer)
+    assert found == f"{status} {outcome}", (found, getattr(answer, "text", answer))
+
+
+@then("every answer is {status:d} {outcome}")
+def check_answers(context, status, outcome):
+    found = tally(context)
+    assert set(found) == {f"{status} {outcome}"}, found
+
+
+@then("every answer is done or not-run")
+def check_honest(context):
+    found = tally(context)
+    allowed = {"200 done", "503 not-run"}
+    assert set(found) <= allowed, found
+
+
+@then("at least {count:d} answers are {status:d} {outcome}")
+def check_count(context, count, status, outcome):
+    found = tally(context)
+    assert found[f"{status} {outcome}"] >= count, found
+
+
+@then("every answer matches its own request")
+def check_contents(context):
+    for answer in context.answers:
+        if getattr(answer, "status_code", 0) == 200:
+            path = "/" + answer.url.split("/", 3)[3]
+            assert answer.json()["target"] == path, (answer.url, answer.text)
+
+
+@then("all answers are the same")
+def check_same(context):
+    texts = {answer.text for answer in context.answers if answer.status_code == 200}
+    assert len(texts) == 1, texts
+
+
+def runs_of(context, key):
+    """Return how often upstreams ran a key."""
+    count = 0
+    for upstream in context.fleet.upstreams.values():
+        runs = requests.get(f"{upstream.url}/runs", timeout=10).json()["runs"]
+        count += runs.count(key)
+    return count
+
+
+@then("booking {name:Word} ran {wanted}")
+def check_runs(context, name, wanted):
+    count = runs_of(context, context.keys[name])
+    limits = {"once": (1, 1), "at most once": (0, 1), "not at all": (0, 0)}
+    low, high = limits[wanted]
+    assert low <= count <= high, count
+
+
+# Owners and members --------------------------------------------------------------
+
+
+def upstream_report(context, name):
+    """Return what the owner says of an upstream."""
+    node = context.fleet.nodes[owner_of(context)]
+    for group in context.fleet.status(node)["groups"]:
+        for upstream in group["upstreams"]:
+            if upstream["name"] == name:
+                return upstream
+    return None
+
+
+@then("upstream {name} is {standing} within {seconds:g} s")
+def check_standing(context, name, standing, seconds):
+    def reached():
+        report = upstream_report(context, name)
+        return report and report["standing"] == standing
+
+    wait_for(reached, f"{name} to be {standing}", seconds)
+
+
+@then("nobody is ejected")
+def check_no_ejection(context):
+    for node in context.fleet.nodes.values():
+        for group in context.fleet.status(node)["groups"]:
+            assert group["ejections"] == 0, group
+
+
+@then("every node sees {count:d} nodes within {seconds:g} s")
+def check_members(context, count, seconds):
+    def reached():
+        states = [context.fleet.status(n) for n in context.fleet.nodes.values()]
+        return all(len(state["members"]) == count for state in states)
+
+    wait_for(reached, f"{count} members", seconds)
+
+
+@then("upstream {name} gets no new work")
+def check_no_work(context, name):
+    upstream = context.fleet.upstreams[name]
+    answers = [a for a in context.answers if a.status_code == 200]
+    used = {a.json()["upstream"] for a in answers[-20:]}
+    assert name not in used, used
+    assert upstream.process.poll() is None
+
+
+# Configuration ---------------------------------------------------------------
+
+
+@when("two operators publish the profile {name} at the same moment")
+def publish_twice(context, name):
+    nodes = list(context.fleet.nodes.values())[:2]
+
+    def publish(index):
+        body = {**PROFILES[0], "name": name, "max_wait_ms": 100 + index}
+        return context.fleet.publish(nodes[index], "profile", body, based_on=0)
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        context.notes["reports"] = list(pool.map(publish, range(2)))
+
+
+@then("one is in force and the other is told of the conflict")
+def check_conflict(context):
+    states = sorted(report["state"] for report in context.notes["reports"])
+    assert states == ["conflict", "settled"], context.notes["reports"]
+
+
+@when("an operator publishes the profile {name}")
+def publish_profile(context, name):
+    node = next(iter(context.fleet.nodes.values()))
+    body = {**PROFILES[0], "name": name}
+    report = context.fleet.publish(node, "profile", body)
+    context.notes["reports"] = [report]
+
+
+@then("it is settled at revision {revision:d}")
+def check_settled(context, revision):
+    report = context.notes["reports"][0]
+    assert (report["state"], report["revision"]) == ("settled", revision), report
+
+
+@then("the newest configuration is in force on every node within {seconds:g} s")
+def check_in_force(context, seconds):
+    offset = max(report["offset"] for report in context.notes["reports"])
+    context.fleet.wait_in_force(offset, seconds)
+
+
+@when("node {name} is replaced")
+def replace_node(context, name):
+    old = context.fleet.nodes[name]
+    context.fleet.stop_node(name, signal.SIGKILL)
+    path = old.settings_path
+    context.fleet.run_node(name, old.place, path)
+
+
+@then("node {name} serves lookups within {seconds:g} s")
+def check_serves(context, name, seconds):
+    def served():
+        answer = send(context, name, "GET", "/sheets/1")
+        return answer.status_code == 200
+
+    wait_for(served, f"{name} to serve", seconds)
+
+
+@then("no node ever went back to an earlier offset")
+def check_offsets(context):
+    for path in context.fleet.folder.glob("*.log"):
+        marks = [
+            int(line.rpartition("=")[2])
+            for line in path.read_text().splitlines()
+            if "configuration: in force offset=" in line
+        ]
+        assert marks == sorted(set(marks)), (path, marks)
+
+
+# Accounts ----------------------------------------------------------------------
+
+
+def run_cli(context, *arguments, node=None):
+    """Run the command line against a node."""
+    one = context.fleet.nodes[node or sorted(context.fleet.nodes)[0]]
+    command = [sys.executable, "-m", "comfreyusher", "--operators", one.operators]
+    return subprocess.run(
+        [*command, *arguments],
+        env=context.fleet.environment,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+
+
+@then("the account of {customer} holds all its requests within {seconds:g} s")
+def check_account(context, customer, seconds):
+    wanted = {
+        answer.headers["Request-Id"]
+        for answer in context.answers
+        if not isinstance(answer, Exception) and "Request-Id" in answer.headers
+    }
+
+    def complete():
+        exported = run_cli(context, "account", "export", customer)
+        context.notes["export"] = exported
+        lines = [json.loads(line) for line in exported.stdout.splitlines()]
+        found = {line["request_id"] for line in lines if "request_id" in line}
+        customers = {line["customer"] for line in lines if "customer" in line}
+        assert customers <= {customer}, customers
+        return wanted <= found
+
+    wait_for(complete, "the account to be complete", seconds)
+
+
+@then("the export names no gap")
+def check_no_gap(context):
+    exported = context.notes["export"]
+    assert exported.returncode == 0, exported.stdout[-500:] + exported.stderr
+
+
+@then("the export names the killed node as a possible gap")
+def check_gap(context):
+    exported = context.notes["export"]
+    gaps = [line for line in exported.stdout.splitlines() if '"gap"' in line]
+    assert exported.returncode == 8, exported.returncode
+    assert len(gaps) == 1, gaps
+
+
+# Raw connections -----------------------------------------------------------------
+
+
+@when("these bytes are sent to node {name}")
+def send_bytes(context, name):
+    text = context.text.replace("\n", "")
+    data = text.encode().decode("unicode_escape").encode("latin-1")
+    port = context.fleet.nodes[name].callers_port
+    key = CUSTOMER_KEYS[CUSTOMER].encode()
+    data = data.replace(b"{auth}", b"Authorization: Bearer " + key)
+    with socket.create_connection(("127.0.0.1", port), timeout=20) as sock:
+        sock.sendall(data)
+        if context.notes.pop("half_close", False):
+            sock.shutdown(socket.SHUT_WR)
+        context.notes["raw"] = read_to_end(sock)
+
+
+@given("the caller closes its side after sending")
+def half_close(context):
+    context.notes["half_close"] = True
+
+
+def read_to_end(sock):
+    """Return everything until the other side closes or falls silent."""
+    sock.settimeout(2)
+    parts = []
+    try:
+        while data := sock.recv(65536):
+            parts.append(data)
+    except (TimeoutError, ConnectionResetError):
+        pass
+    return b"".join(parts)
+
+
+@then("the bytes that come back hold {count:d} answers with status {status:d}")
+def check_raw(context, count, status):
+    raw = context.notes["raw"]
+    assert raw.count(b"HTTP/1.1 %d " % status) == count, raw
+
+
+@then("they hold {text}")
+def check_raw_text(context, text):
+    raw = context.notes["raw"]
+    assert text.encode() in raw, raw
+
+
+@then("node {name} is one process that was never restarted")
+def check_one_process(context, name):
+    pid = context.fleet.nodes[name].process.pid
+    with open(f"/proc/{pid}/task/{pid}/children") as file:
+        assert not file.read().split(), "the node started a child"
+
+
+@then("node {name} uses less than {megabytes:d} MB")
+def check_memory(context, name, megabytes):
+    pid = context.fleet.nodes[name].process.pid
+    with open(f"/proc/{pid}/status") as file:
+        peak = next(line for line in file if line.startswith("VmHWM"))
+    assert int(peak.split()[1]) < megabytes * 1024, peak
