--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,17 @@
 test: install
 	$(PYTHON) -m tests.run
 
+bench: install
+	$(PYTHON) -m extras.bench.run
+
+mutants: install
+	$(PYTHON) -m extras.mutants
+
+capacity: install
+	$(PYTHON) -m extras.capacity.run
+
+binary: install
+	$(PYTHON) -m extras.build_binary
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,170 @@
+"""Peer messages: encoding, garbage, authentication."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreyusher.membership import (
+    GossipKind,
+    GossipMessage,
+    MemberRecord,
+    MemberStanding,
+)
+from comfreyusher.membership._codec import decode_gossip, encode_gossip
+from comfreyusher.messages import (
+    AnswerHead,
+    CopyAsked,
+    Offer,
+    Outcome,
+    RecordsGiven,
+    Refusal,
+    RequestHead,
+    Result,
+    WorkClass,
+    WorkKey,
+)
+from comfreyusher.peering import CodecError, Frames, decode_message, encode_message
+from comfreyusher.peering._handshake import (
+    Hello,
+    is_proven,
+    new_nonce,
+    open_datagram,
+    prove,
+    tag_datagram,
+)
+
+TEXT = st.text(max_size=20)
+NUMBER = st.integers(-(2**62), 2**62)
+KEYS = st.builds(WorkKey, TEXT, NUMBER)
+HEADERS = st.lists(st.tuples(st.binary(max_size=9), st.binary(max_size=9))).map(tuple)
+MESSAGES = st.one_of(
+    st.builds(
+        Offer,
+        KEYS,
+        TEXT,
+        st.sampled_from(WorkClass),
+        NUMBER,
+        st.booleans(),
+        TEXT,
+        TEXT,
+        TEXT,
+        st.builds(RequestHead, TEXT, TEXT, HEADERS, TEXT),
+        st.binary(max_size=50),
+        st.booleans(),
+    ),
+    st.builds(
+        Refusal, KEYS, st.sampled_from(Outcome), st.integers(0, 999), TEXT, NUMBER
+    ),
+    st.builds(
+        Result,
+        KEYS,
+        TEXT,
+        st.builds(AnswerHead, st.integers(100, 599), HEADERS, TEXT),
+        st.binary(max_size=50),
+        st.booleans(),
+        st.floats(allow_nan=False),
+        st.integers(0, 9),
+    ),
+    st.builds(
+        CopyAsked, TEXT, NUMBER, NUMBER, st.lists(st.binary(max_size=9)).map(tuple)
+    ),
+    st.builds(
+        RecordsGiven,
+        NUMBER,
+        NUMBER,
+        st.booleans(),
+        st.booleans(),
+        st.lists(TEXT).map(tuple),
+    ),
+)
+MEMBERS = st.builds(
+    MemberRecord,
+    TEXT,
+    TEXT,
+    TEXT,
+    st.integers(0, 65535),
+    st.integers(0, 65535),
+    TEXT,
+    TEXT,
+    NUMBER,
+    st.sampled_from(MemberStanding),
+    NUMBER,
+    NUMBER,
+)
+
+
+def fuzz(test):
+    """Decorate a property test with the suite's settings."""
+    return settings(max_examples=200, derandomize=True, deadline=None)(test)
+
+
+class CodecTests(unittest.TestCase):
+    @fuzz
+    @given(MESSAGES)
+    def test_messages_survive_the_wire(self, message):
+        again = decode_message(encode_message(message)[4:])
+        self.assertEqual(again, message)
+        self.assertIs(type(again), type(message))
+        hash(again)
+
+    @fuzz
+    @given(MESSAGES, st.data())
+    def test_garbled_messages_raise_the_layers_error(self, message, data):
+        frame = bytearray(encode_message(message)[4:])
+        for _ in range(data.draw(st.integers(1, 5))):
+            place = data.draw(st.integers(0, len(frame) - 1))
+            frame[place] = data.draw(st.integers(0, 255))
+        try:
+            decode_message(bytes(frame))
+        except CodecError:
+            pass
+
+    @fuzz
+    @given(st.binary(max_size=200))
+    def test_garbage_raises_the_layers_error(self, data):
+        for decode in (decode_message, decode_gossip):
+            try:
+                decode(data)
+            except CodecError:
+                pass
+
+    @fuzz
+    @given(st.lists(MEMBERS, max_size=5).map(tuple))
+    def test_datagrams_survive_the_wire(self, members):
+        message = GossipMessage("a.1", GossipKind.PING, 5, "x", members, 9)
+        self.assertEqual(decode_gossip(encode_gossip(message)), message)
+
+    @fuzz
+    @given(st.lists(MESSAGES, max_size=4), st.lists(st.integers(0, 400)))
+    def test_frames_split_alike_in_any_pieces(self, messages, cuts):
+        stream = b"".join(encode_message(message) for message in messages)
+        frames = Frames(1 << 20)
+        found = []
+        start = 0
+        for end in [*sorted(c for c in cuts if c < len(stream)), len(stream)]:
+            found += frames.feed(stream[start:end])
+            start = end
+        self.assertEqual([decode_message(one) for one in found], messages)
+
+    def test_oversized_frame_is_refused_before_it_is_read(self):
+        with self.assertRaises(CodecError):
+            Frames(100).feed(b"\x7f\xff\xff\xff")
+
+
+class HandshakeTests(unittest.TestCase):
+    def test_only_a_current_key_proves_a_node(self):
+        nonce = new_nonce()
+        hello = Hello("vm-1.1", prove(b"new", nonce, "vm-1.1"))
+        self.assertTrue(is_proven([b"old", b"new"], nonce, hello))
+        self.assertFalse(is_proven([b"old"], nonce, hello))
+        self.assertFalse(is_proven([b"new"], new_nonce(), hello))
+        stolen = Hello("vm-2.1", hello.proof)
+        self.assertFalse(is_proven([b"new"], nonce, stolen))
+
+    def test_datagrams_open_only_with_a_current_key(self):
+        data = tag_datagram(b"key", b"payload")
+        self.assertEqual(open_datagram([b"other", b"key"], data), b"payload")
+        self.assertIsNone(open_datagram([b"other"], data))
+        self.assertIsNone(open_datagram([b"key"], data[:-1] + b"x"))
+        self.assertIsNone(open_datagram([b"key"], b""))
