Time out callers that send their head slowly

Cause: the parser counted a head's bytes before llhttp began the message, which reset the count, so a first piece never started the clock.

--- a/comfreyusher/http/_parse.py
+++ b/comfreyusher/http/_parse.py
@@ -54,6 +54,7 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self.in_head = True
+        self.started = False
 
     def feed(self, data):
         """Return the events found in ``data``.
@@ -61,8 +62,6 @@
         Raises ``HttpError`` for a request that must be refused. Events before
         the fault are kept in ``self.events``.
         """
-        if self.in_head:
-            self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -71,6 +70,8 @@
             raise _cause_of(error) from error
         except httptools.HttpParserError as error:
             raise HttpError(400, f"malformed request: {error}") from error
+        if self.in_head and self.started:
+            self.head_bytes += len(data)
         if self.in_head and self.head_bytes > self.max_head_bytes:
             raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
         return self.take()
@@ -84,6 +85,7 @@
 
     def on_message_begin(self):
         self.start_message()
+        self.started = True
 
     def on_url(self, url):
         self.url += url
@@ -106,8 +108,7 @@
         self.events.append(Body(data))
 
     def on_message_complete(self):
-        self.in_head = True
-        self.head_bytes = 0
+        self.start_message()
         self.events.append(End())
 
     def _build_head(self):
