--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from comfreyusher.flow import Tick
 from comfreyusher.membership import (
     GossipKind,
     GossipMessage,
@@ -24,7 +25,13 @@
     WorkClass,
     WorkKey,
 )
-from comfreyusher.peering import CodecError, Frames, decode_message, encode_message
+from comfreyusher.peering import (
+    CodecError,
+    Frames,
+    PeerTask,
+    decode_message,
+    encode_message,
+)
 from comfreyusher.peering._handshake import (
     Hello,
     is_proven,
@@ -33,6 +40,7 @@
     prove,
     tag_datagram,
 )
+from comfreyusher.peering._task import PeerConnection
 
 TEXT = st.text(max_size=20)
 NUMBER = st.integers(-(2**62), 2**62)
@@ -168,3 +176,46 @@
         self.assertIsNone(open_datagram([b"other"], data))
         self.assertIsNone(open_datagram([b"key"], data[:-1] + b"x"))
         self.assertIsNone(open_datagram([b"key"], b""))
+
+
+class SilenceTests(unittest.TestCase):
+    """A node that was busy itself must not take others for lost."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.task = PeerTask("vm-1.1", lambda: [b"key"], None, clock=lambda: self.now)
+        self.aborted = []
+        self.task.abort = self.aborted.append
+        self.task.write = lambda number, data: None
+        state = PeerConnection("vm-2.1", self.now)
+        state.greeted = True
+        self.task.states[1] = state
+
+    def sweep(self, seconds, step):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            self.task.sweep(Tick("sweep", self.now))
+
+    def test_silent_peer_is_lost(self):
+        self.task.states[1].outstanding.add("work")
+        self.sweep(4.0, 0.25)
+        self.assertEqual(set(self.aborted), {1})
+
+    def test_late_sweep_forgives_silence(self):
+        self.task.states[1].outstanding.add("work")
+        self.sweep(1.0, 0.25)
+        self.sweep(10.0, 5.0)
+        self.assertEqual(self.aborted, [])
+
+    def answer_ping(self, number, data):
+        state = self.task.states[number]
+        state.last_heard = self.now
+        state.pinged = 0.0
+
+    def test_idle_connection_is_kept_for_a_while_and_then_closed(self):
+        self.task.write = self.answer_ping
+        self.sweep(59.0, 0.25)
+        self.assertEqual(self.aborted, [])
+        self.sweep(2.0, 0.25)
+        self.assertEqual(set(self.aborted), {1})
