Settle an offer whose reply comes on the other connection

Cause: two nodes that open connections to each other at once keep both. Keys of work stood with the connection that sent the offer, replies came on the other, so that keys were kept for ever and an idle connection was pinged for ever. Ruled out: closing one of the two, which loses what is on the way.

--- a/comfreyusher/peering/_task.py
+++ b/comfreyusher/peering/_task.py
@@ -4,6 +4,7 @@
 ping is closed, and its users are told whether anything was sent on it.
 """
 
+import collections
 import dataclasses
 
 import xxhash
@@ -104,11 +105,14 @@
         self.last_heard = now
         self.last_used = now
         self.pinged = 0.0
-        self.outstanding = set()
 
 
 class PeerTask(StreamTask):
-    """Routes messages to local tasks or over the connection of a node."""
+    """Routes messages to local tasks or over the connection of a node.
+
+    ``outstanding`` holds the keys of work that a node has; its replies may come
+    on another connection than the offer went out on.
+    """
 
     def __init__(self, node, keys, poller, **kwargs):
         super().__init__(CHANNEL, poller, **kwargs)
@@ -119,6 +123,7 @@
         self.by_node = {}
         self.sent_bytes = 0
         self.swept_s = self.clock()
+        self.outstanding = collections.defaultdict(set)
         self.routes = {
             ToNode: self.send_to,
             ToOthers: self.send_to_others,
@@ -178,7 +183,7 @@
     def _send(self, number, body):
         state = self.states[number]
         if isinstance(body, STARTS):
-            state.outstanding.add(body.key)
+            self.outstanding[state.node].add(body.key)
         frame = encode_message(body)
         self.sent_bytes += len(frame)
         state.last_used = self.clock()
@@ -220,6 +225,7 @@
             return
         if self.by_node.get(state.node) == event.connection:
             del self.by_node[state.node]
+            self.outstanding.pop(state.node, None)
             self._deliver(PeerLost(state.node, sent=state.greeted))
 
     # Receiving -----------------------------------------------------------
@@ -239,7 +245,7 @@
         else:
             state.last_used = state.last_heard
             if isinstance(body, ENDS) and getattr(body, "ended", True):
-                state.outstanding.discard(body.key)
+                self.outstanding[state.node].discard(body.key)
             self._deliver(body)
 
     def _answer_challenge(self, number, state, challenge):
@@ -292,12 +298,13 @@
             if now - state.last_heard > LOST_AFTER_S:
                 self.abort(number)
             return
-        idle = not state.outstanding and now - state.last_used > IDLE_TIMEOUT_S
+        waits = bool(self.outstanding.get(state.node))
+        idle = not waits and now - state.last_used > IDLE_TIMEOUT_S
         if idle:
             self.abort(number)
         elif state.pinged and now - state.pinged > LOST_AFTER_S:
             self.abort(number)
         elif not state.pinged and now - state.last_heard > PING_AFTER_S:
-            if state.outstanding or now - state.last_used < PING_AFTER_S * 4:
+            if waits or now - state.last_used < PING_AFTER_S * 4:
                 state.pinged = now
                 self.write(number, encode_message(Ping(reply=True)))
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -22,6 +22,7 @@
     Refusal,
     RequestHead,
     Result,
+    ToNode,
     WorkClass,
     WorkKey,
 )
@@ -198,16 +199,37 @@
             self.task.sweep(Tick("sweep", self.now))
 
     def test_silent_peer_is_lost(self):
-        self.task.states[1].outstanding.add("work")
+        self.task.outstanding["vm-2.1"].add("work")
         self.sweep(4.0, 0.25)
         self.assertEqual(set(self.aborted), {1})
 
     def test_late_sweep_forgives_silence(self):
-        self.task.states[1].outstanding.add("work")
+        self.task.outstanding["vm-2.1"].add("work")
         self.sweep(1.0, 0.25)
         self.sweep(10.0, 5.0)
         self.assertEqual(self.aborted, [])
 
+    def test_reply_on_the_other_connection_settles_the_offer(self):
+        offer = Offer(
+            WorkKey("vm-1.1", 1),
+            "g",
+            WorkClass.SHORT,
+            1000,
+            True,
+            "r",
+            "f",
+            "",
+            RequestHead("GET", "/"),
+        )
+        self.task.tell = lambda channel, body: None
+        self.task.by_node["vm-2.1"] = 1
+        self.task.send_to(ToNode("vm-2.1", offer))
+        self.task.states[2] = PeerConnection("vm-2.1", self.now)
+        self.task.states[2].greeted = True
+        result = Result(offer.key, "u", AnswerHead(200), b"", True)
+        self.task._take(2, self.task.states[2], result)
+        self.assertEqual(self.task.outstanding["vm-2.1"], set())
+
     def answer_ping(self, number, data):
         state = self.task.states[number]
         state.last_heard = self.now
