Type the refusal that sends work to another owner; run the demo in make test

Cause: the entry recognised it by the words of its reason. It is status 421 between nodes now; callers see 503. Private imports across packages are gone but one: the telemetry task, which would load its exporters into every importer.

--- a/comfreyusher/cli/_commands.py
+++ b/comfreyusher/cli/_commands.py
@@ -12,8 +12,7 @@
 from comfreyusher.cli._output import describe_status, show, show_note
 from comfreyusher.cli._serve import serve
 from comfreyusher.declarations import digest_key
-from comfreyusher.settings import EXAMPLE, SecretRef, load_settings
-from comfreyusher.settings._secrets import read_secret
+from comfreyusher.settings import EXAMPLE, SecretRef, load_settings, read_secret
 from comfreyusher.status import ExitStatus
 
 DEFAULT_OPERATORS = "http://127.0.0.1:8081"
--- a/comfreyusher/configuration/_task.py
+++ b/comfreyusher/configuration/_task.py
@@ -26,7 +26,7 @@
 )
 from comfreyusher.declarations import Catalogue, RecordError, encode_record
 from comfreyusher.flow import Subscribe, Task, Tick, change
-from comfreyusher.membership._task import OffsetReached
+from comfreyusher.membership import OffsetReached
 from comfreyusher.messages import (
     OffsetAsked,
     OffsetHeard,
--- a/comfreyusher/entry/_settle.py
+++ b/comfreyusher/entry/_settle.py
@@ -13,10 +13,9 @@
     try_other_owner,
 )
 from comfreyusher.flow import Address, change, passed, stopped
-from comfreyusher.messages import AnswerInterim, Outcome, Result
+from comfreyusher.messages import AnswerInterim, Outcome, RefusalStatus, Result
 
 INFORMATIONAL_END = 200
-OWNER_UNFIT_MARKS = ("the owner of the group", "this node does not know")
 
 
 def take_result(state, visit, result):
@@ -62,18 +61,21 @@
         step = _try_elsewhere(state, visit, refusal)
         if step is not None:
             return step
+    status = refusal.status
+    if status == RefusalStatus.MISDIRECTED:
+        status = RefusalStatus.UNAVAILABLE
     return refuse(
         state,
         visit,
         refusal.outcome,
-        refusal.status,
+        status,
         refusal.reason,
         refusal.retry_after_ms,
     )
 
 
 def _try_elsewhere(state, visit, refusal):
-    if refusal.reason.startswith(OWNER_UNFIT_MARKS):
+    if refusal.status == RefusalStatus.MISDIRECTED:
         step = try_other_owner(state, visit)
         if step is not None:
             return step
--- a/comfreyusher/membership/_task.py
+++ b/comfreyusher/membership/_task.py
@@ -14,8 +14,7 @@
     new_state,
 )
 from comfreyusher.messages import OffsetHeard
-from comfreyusher.peering import CodecError
-from comfreyusher.peering._handshake import open_datagram, tag_datagram
+from comfreyusher.peering import CodecError, open_datagram, tag_datagram
 
 CHANNEL = "membership"
 TICKS_PER_PERIOD = 5
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -41,7 +41,7 @@
     SendStart,
 )
 from comfreyusher.messages._heads import AnswerHead, RequestHead, find_header
-from comfreyusher.messages._outcome import Outcome, WorkClass
+from comfreyusher.messages._outcome import Outcome, RefusalStatus, WorkClass
 from comfreyusher.messages._work import (
     Offer,
     OfferBody,
@@ -83,6 +83,7 @@
     "RecordsAsked",
     "RecordsGiven",
     "Refusal",
+    "RefusalStatus",
     "ReplyBody",
     "ReplyCredit",
     "ReplyInterim",
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -56,7 +56,7 @@
     return immutables.Map({name: tuple(places) for name, places in groups.items()})
 
 
-def derive_roles(own, members, ownership):
+def derive_roles(own, members):
     """Return the roles of this node among the live members.
 
     Every role is a rendezvous choice, so that nodes with the same view agree
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -124,7 +124,7 @@
 
     def _tell_roles(self):
         own = change(self.own, offset=0, version=0)
-        roles = derive_roles(own, self.members, self.ownership)
+        roles = derive_roles(own, self.members)
         nodes = tuple(record.node for record in self.members)
         live = frozenset(nodes)
         changed = RolesChanged(roles.reader, roles.restater, roles.neighbours, nodes)
--- a/comfreyusher/owner/_offers.py
+++ b/comfreyusher/owner/_offers.py
@@ -4,15 +4,19 @@
 
 from comfreyusher.flow import change, passed, pipe, stopped
 from comfreyusher.health import Standing
-from comfreyusher.messages import Outcome, ReplyCredit, SendBody, SendCancel
+from comfreyusher.messages import (
+    Outcome,
+    RefusalStatus,
+    ReplyCredit,
+    SendBody,
+    SendCancel,
+)
 from comfreyusher.owner._admit import estimate_wait, is_too_late, retry_after_ms
 from comfreyusher.owner._messages import to_upstream
 from comfreyusher.owner._queue import dequeue, enqueue
 from comfreyusher.owner._settle import refuse, release
 from comfreyusher.owner._state import RETRY_TOKENS_MAX, Attempt, Work
 
-OWNER_UNFIT = "the owner of the group reaches no upstream"
-
 
 def take_offer(group, offer, now):
     """Run the admission pipe for offered work."""
@@ -51,7 +55,9 @@
         reason = "the group has no upstream"
         return refuse(group, arrival.work, Outcome.NOT_RUN, 503, reason, 1000)
     if all(upstream.health.unreachable for upstream in present):
-        return refuse(group, arrival.work, Outcome.NOT_RUN, 503, OWNER_UNFIT, 1000)
+        reason = "the owner of the group reaches no upstream"
+        status = RefusalStatus.MISDIRECTED
+        return refuse(group, arrival.work, Outcome.NOT_RUN, status, reason, 1000)
     return passed(group, arrival)
 
 
--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -9,6 +9,7 @@
     OpinionGiven,
     Outcome,
     Refusal,
+    RefusalStatus,
     ReplyBody,
     ReplyInterim,
     ReplyStart,
@@ -86,7 +87,8 @@
 
     def _refuse_unknown(self, offer):
         reason = f"this node does not know the group {offer.group}"
-        refusal = Refusal(offer.key, Outcome.NOT_RUN, 503, reason, 1000)
+        status = RefusalStatus.MISDIRECTED
+        refusal = Refusal(offer.key, Outcome.NOT_RUN, status, reason, 1000)
         self.tell(PEERS, ToNode(offer.key.node, refusal))
 
     def by_key(self, body):
--- a/comfreyusher/peering/__init__.py
+++ b/comfreyusher/peering/__init__.py
@@ -7,6 +7,7 @@
     decode_message,
     encode_message,
 )
+from comfreyusher.peering._handshake import open_datagram, tag_datagram
 from comfreyusher.peering._struct import read_struct, write_struct
 from comfreyusher.peering._task import PeerAddresses, PeerTask
 
@@ -18,6 +19,8 @@
     "PeerTask",
     "decode_message",
     "encode_message",
+    "open_datagram",
     "read_struct",
+    "tag_datagram",
     "write_struct",
 ]
--- a/comfreyusher/settings/__init__.py
+++ b/comfreyusher/settings/__init__.py
@@ -15,7 +15,7 @@
     TlsMode,
     TlsSettings,
 )
-from comfreyusher.settings._secrets import SecretError, SecretKeys
+from comfreyusher.settings._secrets import SecretError, SecretKeys, read_secret
 
 __all__ = [
     "EXAMPLE",
@@ -33,4 +33,5 @@
     "TlsMode",
     "TlsSettings",
     "load_settings",
+    "read_secret",
 ]
--- a/tests/run.py
+++ b/tests/run.py
@@ -126,6 +126,7 @@
         *run_command("formatter", "ruff", "format", "--check", "."),
         *run_command("linter", "ruff", "check", "."),
         *run_units(),
+        *run_command("demo", "extras.demo"),
         *run_scenarios(),
     ]
     known = read_known_red()
--- a/tests/scenarios/operators.feature
+++ b/tests/scenarios/operators.feature
@@ -20,6 +20,12 @@
     Then the command ends with status 0 and prints "3 nodes in the fleet"
     When an operator runs "metrics"
     Then the command ends with status 0 and prints "comfreyusher.requests"
+    When an operator runs "trace 4bf92f3577b34da6a3ce929d0e0e4736"
+    Then the command ends with status 0 and prints nothing wrong
+    When an operator runs "service list"
+    Then the command ends with status 0 and prints "orders  revision 1"
+    When an operator runs "customer show kecskemet-tofu"
+    Then the command ends with status 0 and prints "key_digests"
     When an operator runs "account export nobody"
     Then the command ends with status 0 and prints "0 requests"
     When an operator runs "profile show none"
--- a/tests/scenarios/steps/operator_steps.py
+++ b/tests/scenarios/steps/operator_steps.py
@@ -84,6 +84,11 @@
     run_command(context, words.split(), COMFREYUSHER_OPERATOR_KEY="x" * 20)
 
 
+@then("the command ends with status {status:d} and prints nothing wrong")
+def check_quiet_command(context, status):
+    check_command(context, status, "")
+
+
 @then('the command ends with status {status:d} and prints "{text}"')
 def check_command(context, status, text):
     ran = context.notes["ran"]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -46,6 +46,7 @@
     Outcome,
     PeerLost,
     Refusal,
+    RefusalStatus,
     RequestHead,
     RequestStart,
     Result,
@@ -337,6 +338,17 @@
         entry.send(2, key)
         self.assertEqual(entry.take(Offer), [])
 
+    def test_misdirected_request_goes_to_the_next_owner(self):
+        entry = EntryHarness(("vm-1.1", "vm-2.1", "vm-3.1"))
+        entry.send(1, f"vm-1.1~{key_made(1)}")
+        offer = entry.take(Offer)[0]
+        first = entry.task.visits[1].owner
+        status = RefusalStatus.MISDIRECTED
+        refusal = Refusal(offer.key, Outcome.NOT_RUN, status, "elsewhere")
+        entry.task.routes[Refusal](refusal)
+        self.assertEqual(len(entry.take(Offer)), 1)
+        self.assertNotEqual(entry.task.visits[1].owner, first)
+
     def test_marked_request_goes_on_when_its_caller_leaves(self):
         entry = EntryHarness()
         key = f"vm-1.1~{key_made(1)}"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -191,7 +191,7 @@
 
     def test_every_data_centre_has_readers_and_the_fleet_one_carrier(self):
         members = [record(n) for n in range(1, 9)]
-        roles = [derive_roles(one, members, None) for one in members]
+        roles = [derive_roles(one, members) for one in members]
         self.assertEqual(sum(role.reader for role in roles), 2)
         self.assertEqual(sum(role.carrier for role in roles), 1)
         self.assertTrue(all(role.buddy for role in roles))
