--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -128,6 +128,14 @@
         "    return upstream.slots",
         OWNER,
     ),
+    Mutation(
+        "a one-way cut ejects without a second opinion",
+        "floor",
+        "comfreyusher/owner/_watch.py",
+        "    if upstream.health.unreachable and not upstream.opinion_asked_s:",
+        "    if False:",
+        OWNER,
+    ),
     Mutation(
         "the last record on a base wins",
         "configuration",
--- a/tests/test_owner_properties.py
+++ b/tests/test_owner_properties.py
@@ -7,12 +7,16 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from comfreyusher.declarations import Detection, Profile, Retries
+from comfreyusher.flow import change
 from comfreyusher.health import Standing
 from comfreyusher.messages import (
     AnswerHead,
     Offer,
+    OpinionGiven,
+    OpinionWanted,
     Outcome,
     Refusal,
+    RefusalStatus,
     ReplyBody,
     ReplyStart,
     RequestHead,
@@ -388,6 +392,61 @@
         refusal = self.model.ended[attempt.key][0]
         self.assertIs(refusal.outcome, Outcome.UNKNOWN)
 
+    def accuse_unreachable(self, name="u1"):
+        """Let connects to one upstream fail until an opinion is asked for."""
+        asked = []
+        for _ in range(12):
+            self.offer(8)
+            for attempt, where in list(self.model.running.items()):
+                del self.model.running[attempt]
+                if where == name:
+                    self.model.did_not_run(attempt)
+                    self.model.send(SendFailed(attempt, False, False, "cut"))
+                else:
+                    self.model.send(ReplyStart(attempt, OK, b"", True))
+            self.answer_all()
+            self.model.now += 0.1
+            step = decide(self.model.group, Clock(), self.model.now)
+            self.model.group = step.state
+            asked += [a.body for a in step.messages if type(a.body) is OpinionWanted]
+            if asked:
+                return asked
+        return asked
+
+    def test_unreachable_upstream_is_ejected_only_if_others_agree(self):
+        for reachable, standing in (
+            (True, Standing.HEALTHY),
+            (False, Standing.EJECTED),
+        ):
+            self.setUp()
+            self.assertEqual(
+                [one.upstream for one in self.accuse_unreachable()], ["u1"]
+            )
+            self.model.send(OpinionGiven("u1", reachable))
+            self.assertIs(self.standing("u1"), standing)
+
+    def test_silence_of_the_other_node_ejects_after_a_while(self):
+        self.accuse_unreachable()
+        self.pass_time(0.2)
+        self.assertIs(self.standing("u1"), Standing.HEALTHY)
+        self.pass_time(1.0)
+        self.assertIs(self.standing("u1"), Standing.EJECTED)
+
+    def test_owner_that_reaches_nothing_sends_work_to_another(self):
+        for name in UPSTREAMS:
+            self.accuse_unreachable(name)
+        group = self.model.group
+        for name in UPSTREAMS:
+            upstream = group.upstreams[name]
+            health = change(upstream.health, unreachable=True)
+            upstreams = group.upstreams.set(name, change(upstream, health=health))
+            group = change(group, upstreams=upstreams)
+        self.model.group = group
+        self.offer(1)
+        refusal = self.model.ended[WorkKey("n.1", self.model.number)][0]
+        self.assertEqual(refusal.status, RefusalStatus.MISDIRECTED)
+        self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+
     def test_lone_crash_condemns_nobody(self):
         self.offer(1, fingerprint="innocent")
         attempt = next(iter(self.model.running))
