--- a/extras/bench/run.py
+++ b/extras/bench/run.py
@@ -208,7 +208,8 @@
         "# Measurements\n\nWritten by `make bench`, seed "
         f"{decisions.SEED}, on one machine of 8 cores. Decisions run on a fake "
         "workload in simulated time; processes run on loopback, with the load "
-        "driver, stand-ins and four nodes on the same cores.\n\n"
+        "driver, stand-ins and four nodes on the same cores. Answers above 100% of "
+        "capacity come from work that queued before the window.\n\n"
         + "\n".join(summary)
         + "\n\n![Szójaút](szojaut.png)\n![Mkanda](mkanda.png)\n\n"
         + "\n".join(parts)
