--- a/comfreyusher/flow/__init__.py
+++ b/comfreyusher/flow/__init__.py
@@ -1,19 +1,19 @@
 """Pipes, tasks, the timer service and the socket tasks they run on."""
 
 from comfreyusher.flow._change import change
-from comfreyusher.flow._datagrams import DatagramTask
-from comfreyusher.flow._pipe import Step, passed, pipe, stopped
-from comfreyusher.flow._poller import Poller
-from comfreyusher.flow._root import Root
-from comfreyusher.flow._streams import (
+from comfreyusher.flow._connection import (
     Accepted,
     Closed,
     Connected,
     Drained,
     Received,
-    StreamTask,
     bind_listener,
 )
+from comfreyusher.flow._datagrams import DatagramTask
+from comfreyusher.flow._pipe import Step, passed, pipe, stopped
+from comfreyusher.flow._poller import Poller
+from comfreyusher.flow._root import Root
+from comfreyusher.flow._streams import StreamTask
 from comfreyusher.flow._task import Address, Task, fire_message
 from comfreyusher.flow._timers import Subscribe, Tick, TimerService, Unsubscribe
 
