Tell a taken operators' port in one line

Cause: circuits' server raises OSError when it binds, and nothing turned it into the node's error; a traceback showed. The test failed before.

--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -71,7 +71,7 @@
         tls_client=_client_context(settings.peers.tls),
     )
     parts = Parts(callers, entry, owner, telemetry, (peer_keys, operator_keys))
-    operators = OperatorServer(settings.operators.host, settings.operators.port)
+    operators = _operator_server(settings.operators)
     tasks = (
         telemetry,
         entry,
@@ -111,6 +111,14 @@
         raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
 
 
+def _operator_server(operators):
+    try:
+        return OperatorServer(operators.host, operators.port)
+    except OSError as error:
+        place = f"{operators.host}:{operators.port}"
+        raise ListenError(f"cannot listen on {place}: {error}") from error
+
+
 def _own_record(settings, incarnation, peer_listener):
     node, peers = settings.node, settings.peers
     return MemberRecord(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import socket
 import tempfile
 import unittest
 from unittest import mock
@@ -125,6 +126,7 @@
 
 
 KEY_NAME = "COMFREYUSHER_OPERATOR_KEY"
+PEER_KEY_NAME = "COMFREYUSHER_PEER_KEY"
 
 
 class FileTests(Folder):
@@ -174,6 +176,23 @@
             load_settings(path)
         self.assertIn("callers.tls.certificate_file", str(caught.exception.exceptions))
 
+    def test_taken_ports_are_told_in_one_line(self):
+        keys = dict.fromkeys((PEER_KEY_NAME, KEY_NAME), "a-secret-of-the-fleet")
+        for place in ('"port": 8080', '"port": 8081'):
+            with socket.socket() as taken:
+                taken.bind(("127.0.0.1", 0))
+                taken.listen()
+                port = taken.getsockname()[1]
+                text = EXAMPLE.replace(place, f'"port": {port}')
+                for number in ("8080", "8081", "7000", "7001"):
+                    text = text.replace(f'port": {number}', 'port": 0')
+                path = self.write("node.json", text)
+                ran = run("serve", "--settings", path, environment=keys)
+            with self.subTest(place):
+                self.assertEqual(ran.status, ExitStatus.ERROR)
+                self.assertIn(f"cannot listen on 127.0.0.1:{port}", ran.err)
+                self.assertIn("hint:", ran.err)
+
     def test_example_is_valid(self):
         path = self.write("node.json", run("settings", "example").out)
         self.assertEqual(run("settings", "check", path).status, ExitStatus.SUCCESS)
