--- a/comfreyusher/flow/__init__.py
+++ b/comfreyusher/flow/__init__.py
@@ -14,7 +14,7 @@
 from comfreyusher.flow._poller import Poller
 from comfreyusher.flow._root import Root
 from comfreyusher.flow._streams import StreamTask
-from comfreyusher.flow._task import Address, Task, fire_message
+from comfreyusher.flow._task import Address, Task
 from comfreyusher.flow._timers import Subscribe, Tick, TimerService, Unsubscribe
 
 __all__ = [
@@ -36,7 +36,6 @@
     "Unsubscribe",
     "bind_listener",
     "change",
-    "fire_message",
     "passed",
     "pipe",
     "stopped",
--- a/comfreyusher/flow/_task.py
+++ b/comfreyusher/flow/_task.py
@@ -19,11 +19,6 @@
     body: Any
 
 
-def fire_message(component, channel, body):
-    """Queue a message for the task that listens on the channel."""
-    component.fire(message(body), channel)
-
-
 def read_clock():
     """Return the monotonic time in seconds."""
     return time.monotonic()
--- a/comfreyusher/membership/__init__.py
+++ b/comfreyusher/membership/__init__.py
@@ -1,7 +1,6 @@
 """Which nodes and upstreams exist: gossip, the platform's list, ownership."""
 
 from comfreyusher.membership._decide import (
-    FAILED,
     GossipSettings,
     begin_leaving,
     hear,
@@ -32,7 +31,6 @@
 )
 
 __all__ = [
-    "FAILED",
     "GossipKind",
     "GossipMessage",
     "GossipSettings",
--- a/comfreyusher/membership/_decide.py
+++ b/comfreyusher/membership/_decide.py
@@ -18,7 +18,6 @@
     SendGossip,
 )
 
-FAILED = (MemberStanding.DEAD,)
 MEMBERS_PER_MESSAGE = 8
 MEMBERS_PER_PAGE = 16
 BURIED_S = 120.0
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -119,7 +119,6 @@
     picks: int = 0
     ejected_total: int = 0
     refused_total: int = 0
-    started_s: float = 0.0
 
     def is_long(self, work):
         """Tell the class of a piece of work."""
@@ -129,9 +128,7 @@
 def new_group(plan, now):
     """Return the state of a group that this node has begun to own."""
     first_s = plan.profile.detection.first_stall_ms / 1000
-    group = Group(
-        plan=plan, short_limit_s=first_s, long_limit_s=first_s * 10, started_s=now
-    )
+    group = Group(plan=plan, short_limit_s=first_s, long_limit_s=first_s * 10)
     return apply_plan(group, plan, now)
 
 
