Log where knowledge of the store came from, and when a process is held up

The lines before could not tell a full link from a reader that is behind or a processor that is late: a version had no source, no size and no waiting time, a change of reader left no line, and an answer did not say which version it went by.

New fields: version and sent_ms of 'answered'; source of 'upstream'; routes, offset, size_bytes, source and waited_ms of 'configuration in force'. New lines: 'reader followed' and 'held up' (timers more than 0.5 s late). No decision changes.

--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -205,6 +205,8 @@
             tried=visit.tried,
             upstream=last.upstream if last else "",
             owner=last.owner if last else "",
+            version=self.state.table.version,
+            sent_ms=_since_arrival_ms(visit, last),
             took_ms=took_ms,
         )
 
@@ -389,3 +391,10 @@
                 group=attempt.ask.group,
                 owner=attempt.owner,
             )
+
+
+def _since_arrival_ms(visit, attempt):
+    """Return when an attempt was sent, after the arrival, or ``None``."""
+    if attempt is None or not attempt.sent_s:
+        return None
+    return round((attempt.sent_s - visit.began_s) * 1000, 1)
--- /dev/null
+++ b/comfreyusher/feeds/_log.py
@@ -0,0 +1,54 @@
+"""Log lines on what a node knows of the store, since when and from whom."""
+
+from comfreyusher.events import note
+
+PART = "feeds"
+
+
+def log_entry(before, entry, source):
+    """Log an entry that changed; ``before`` is the listing without it."""
+    known = before.upstreams.get(entry.name)
+    state = "leaving" if entry.leaving else "listed"
+    note(
+        PART,
+        "upstream",
+        upstream=entry.name,
+        state="gone" if entry.gone else state,
+        service=entry.service or (known.service if known else ""),
+        source=source,
+    )
+
+
+def log_configuration(published, kept, source, waited_ms):
+    """Log a version that came into force.
+
+    ``kept`` holds its record. ``waited_ms`` is how long this node knew that
+    there was a newer one.
+    """
+    record = next(iter(kept.values()), None)
+    note(
+        PART,
+        "configuration in force",
+        version=published.version,
+        routes=len(published.routes),
+        offset=record.offset if record else None,
+        size_bytes=len(record.value) if record else 0,
+        source=source,
+        waited_ms=waited_ms,
+    )
+
+
+def log_marker(state, mark, node, now):
+    """Log that another reader tells this node of a topic."""
+    note(
+        PART,
+        "reader followed",
+        topic=mark.topic,
+        reader=node,
+        before=state.marker,
+        mark_age_ms=mark.age_ms,
+        stale_s=round(now - state.position.confirmed_s, 2),
+        end=state.position.end,
+        marked_end=mark.end,
+        marked_changed=mark.changed,
+    )
--- a/comfreyusher/feeds/_marks.py
+++ b/comfreyusher/feeds/_marks.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from comfreyusher.events import note
 from comfreyusher.flow import change
 from comfreyusher.messages import (
     FeedChange,
@@ -11,7 +10,6 @@
     TopicMark,
 )
 
-PART = "feeds"
 CHANGE_REPEATS = 2
 ENTRIES_PER_CHANGE = 8
 MAX_AGE_S = 3600.0
@@ -61,16 +59,3 @@
     records = tuple(KeptRecord(r.key, r.value, r.offset) for r in kept)
     upstreams = tuple(listing.upstreams.values()) if listing is not None else ()
     return SnapshotGiven(mark, records, upstreams)
-
-
-def log_entry(before, entry):
-    """Log an entry that changed; ``before`` is the listing without it."""
-    known = before.upstreams.get(entry.name)
-    state = "leaving" if entry.leaving else "listed"
-    note(
-        PART,
-        "upstream",
-        upstream=entry.name,
-        state="gone" if entry.gone else state,
-        service=entry.service or (known.service if known else ""),
-    )
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -3,9 +3,9 @@
 import random
 
 from comfreyusher.events import note, warn
+from comfreyusher.feeds._log import log_configuration, log_entry, log_marker
 from comfreyusher.feeds._marks import (
     Repeat,
-    log_entry,
     mark_of,
     marks_of,
     one_less,
@@ -61,6 +61,7 @@
 ASK_PEER_AFTER_S = 0.5
 ASK_PEER_PERIOD_S = 1.0
 ASK_MARKER_AFTER_S = 0.3
+STORE, PEER = "store", "peer"
 FOLLOWED = (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
 
 
@@ -135,13 +136,13 @@
         if read.start != state.position.end:
             state.calling = False
             return
-        changed = self._apply(read, read.following, whole=False)
+        changed = self._apply(read, read.following, whole=False, source=STORE)
         behind = read.following < read.end
         self._confirm(read.topic, read.following, changed, behind)
 
     def take_newest(self, read):
         """Take the newest records of a whole topic."""
-        changed = self._apply(read, read.end, whole=True)
+        changed = self._apply(read, read.end, whole=True, source=STORE)
         self._confirm(read.topic, read.end, changed, behind=False)
 
     def _confirm(self, topic, end, changed, behind):
@@ -197,8 +198,11 @@
 
     # Records -------------------------------------------------------------------
 
-    def _apply(self, read, end, whole):
-        """Apply records of a topic; return whether they matter."""
+    def _apply(self, read, end, whole, source):
+        """Apply records of a topic; return whether they matter.
+
+        ``source`` names the node that gave them, or the store.
+        """
         topic, records = read.topic, read.records
         if topic is Topic.UPSTREAMS:
             decide = apply_newest if whole else apply_upstreams
@@ -206,21 +210,21 @@
             applied = decide(self.listing, records, departs_s)
             for fault in applied.faults:
                 warn(PART, "entry refused", reason=fault)
-            return self._take_listing(applied, spread=True)
+            return self._take_listing(applied, source, spread=True)
         keep_newest(self.kept[topic], records)
         if topic is Topic.CONFIGURATION:
-            return self._take_configuration(records)
+            return self._take_configuration(records, source)
         if records or whole:
             self.tell("configuration", DeclarationsRead(end, records))
         return bool(records)
 
-    def _take_listing(self, applied, spread):
+    def _take_listing(self, applied, source, spread):
         before = self.listing
         self.listing = applied.listing
         if not applied.changed:
             return False
         for entry in applied.changed:
-            log_entry(before, entry)
+            log_entry(before, entry, source)
         told = UpstreamsChanged(self.listing.upstreams, applied.changed)
         self.tell("node", told)
         if spread and self.reading:
@@ -228,7 +232,7 @@
             self.repeats.append(Repeat(position.changed, applied.changed))
         return True
 
-    def _take_configuration(self, records):
+    def _take_configuration(self, records, source):
         try:
             found = apply_configuration(self.published, records)
         except DocumentRefused as error:
@@ -237,12 +241,15 @@
         if found is self.published:
             return False
         self.published = found
-        note(
-            PART, "configuration in force", version=found.version, reading=self.reading
-        )
+        log_configuration(found, self.kept[Topic.CONFIGURATION], source, self._waited())
         self.tell("node", PublishedChanged(found))
         return True
 
+    def _waited(self):
+        """Return for how many milliseconds a newer configuration was known of."""
+        state = self.topics[Topic.CONFIGURATION]
+        return int((self.clock() - state.wanted_s) * 1000) if state.behind else 0
+
     # Marks -----------------------------------------------------------------------
 
     def _send_marks(self, now):
@@ -268,6 +275,8 @@
         for one in mark.topics:
             state = self.topics.get(Topic(one.topic))
             if state is not None:
+                if state.marker != mark.node:
+                    log_marker(state, one, mark.node, now)
                 state.marker = mark.node
                 self._hear_position(Topic(one.topic), state, one, now)
             if one.topic == Topic.UPSTREAMS.value:
@@ -282,7 +291,8 @@
         if not one.changed and not position.known and topic is Topic.DECLARATIONS:
             position = Position(known=True)
             self.tell("configuration", DeclarationsRead(0, ()))
-        state.wanted = max(state.wanted, one.changed)
+        if one.changed > state.wanted:
+            state.wanted, state.wanted_s = one.changed, now
         if position.known and position.end >= one.changed:
             state.behind = False
             confirmed_s = max(position.confirmed_s, now - one.age_ms / 1000)
@@ -306,7 +316,7 @@
         if not state.position.known or state.position.end < heard.base:
             return
         applied = apply_changes(self.listing, heard.upstreams)
-        self._take_listing(applied, spread=False)
+        self._take_listing(applied, heard.node, spread=False)
         if not state.calling:
             end = max(state.position.end, heard.changed)
             state.position = change(state.position, end=end)
@@ -346,24 +356,26 @@
         if state.position.known and state.position.end >= mark.changed:
             return
         now = self.clock()
-        state.behind = False
         state.position = Position(
             True, mark.end, mark.changed, now - mark.age_ms / 1000
         )
         note(PART, "snapshot taken", topic=topic.value, age_ms=mark.age_ms)
         if topic is Topic.UPSTREAMS:
             applied = apply_whole(self.listing, given.upstreams)
-            self._take_listing(applied, spread=False)
-            return
-        records = tuple(Record(r.key, r.value, r.offset) for r in given.records)
-        self._apply(NewestRead(topic, mark.end, records), mark.end, whole=True)
+            self._take_listing(applied, PEER, spread=False)
+        else:
+            records = tuple(Record(r.key, r.value, r.offset) for r in given.records)
+            read = NewestRead(topic, mark.end, records)
+            self._apply(read, mark.end, whole=True, source=PEER)
+        state.behind = False
 
     # Time ------------------------------------------------------------------------
 
     def on_tick(self, tick):
         """Read what is due, become a reader when nobody else is, tell others."""
         now = tick.now_s
-        self._take_listing(release_departures(self.listing, now), spread=True)
+        due = release_departures(self.listing, now)
+        self._take_listing(due, STORE, spread=True)
         stale_s = now - self._last_confirmed_s()
         if not self.reading and stale_s > self.pace.stale_s(self.rank):
             self.reading = True
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -7,8 +7,8 @@
 class TopicState:
     """State of one topic: its position and the call that is under way.
 
-    ``marker`` is the reader that knows of the offset ``wanted``; it was asked
-    for its records at ``asked_s``, monotonic seconds.
+    ``marker`` is the reader that knows of the offset ``wanted`` since ``wanted_s``;
+    it was asked for its records at ``asked_s``. Times are monotonic seconds.
     """
 
     def __init__(self):
@@ -21,6 +21,7 @@
         self.behind = False
         self.marker = ""
         self.wanted = 0
+        self.wanted_s = 0.0
         self.asked_s = 0.0
 
 
--- a/comfreyusher/flow/_timers.py
+++ b/comfreyusher/flow/_timers.py
@@ -7,9 +7,12 @@
 
 from circuits import handler
 
+from comfreyusher.events import note
 from comfreyusher.flow._task import Task
 
 CHANNEL = "timers"
+PART = "timers"
+HELD_UP_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +81,8 @@
     def on_generate_events(self, event):
         """Fire what is due and bound the poller's sleep by the next due time."""
         now = self.clock()
+        if self.due and now - self.due[0][0] > HELD_UP_S:
+            note(PART, "held up", late_ms=int((now - self.due[0][0]) * 1000))
         while self.due and self.due[0][0] <= now:
             _, number, subscription = heapq.heappop(self.due)
             self._fire_tick(number, subscription, now)
--- a/comfreyusher/routing/_table.py
+++ b/comfreyusher/routing/_table.py
@@ -45,7 +45,7 @@
     ``routes`` maps ``(host, prefix)`` to a tuple of ``(service, Rule)`` of the
     declarations, ``published`` to the platform's ``Rule``. ``services`` and
     ``profiles`` map names to declarations, ``customers`` key digests and
-    ``hosts`` hosts to customer names.
+    ``hosts`` hosts to customer names. ``version`` is the published one.
     """
 
     routes: immutables.Map = immutables.Map()
@@ -56,6 +56,7 @@
     hosts: immutables.Map = immutables.Map()
     entries: immutables.Map = immutables.Map()
     offset: int = 0
+    version: int = 0
     default_profile: Profile = Profile(DEFAULT_PROFILE)
 
 
@@ -82,7 +83,8 @@
         known = table.published.get(key)
         same = known is not None and known.route == route
         rules[key] = known if same else _rule_of(route, route.parts)
-    return change(table, published=immutables.Map(rules))
+    published_map = immutables.Map(rules)
+    return change(table, published=published_map, version=published.version)
 
 
 def find_route(table, method, host, target, token=""):
