Show with tests that a large configuration shuts a far region out of the store

What callers saw: requests handled by an older version for seconds, 404 for routes that had been added.

tests/region.py runs the real feed tasks of a region on simulated time over links of the grown deployment's speed.

--- a/comfreyusher/feeds/_messages.py
+++ b/comfreyusher/feeds/_messages.py
@@ -40,6 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegionSeen:
-    """Live nodes of this node's region."""
+    """Live nodes of this node's region, and those of its data centre."""
 
     nodes: tuple
+    near: tuple = ()
--- /dev/null
+++ b/tests/test_pattern_large_configuration.py
@@ -0,0 +1,62 @@
+"""Load pattern: a large configuration reaches a region over a narrow link.
+
+The links are those of the users' grown deployment: 60 Mbit/s between regions and
+10 Mbit/s for a VM; 1,200 routes are some 250 kB.
+"""
+
+import unittest
+
+from tests.region import Region
+
+NODES = 52
+REGION_MBPS = 60.0
+NODE_MBPS = 10.0
+ROUTES = 1200
+APPLY_S = 3.0
+
+
+class LargeConfigurationTests(unittest.TestCase):
+    def region(self, **kwargs):
+        region = Region(NODES, REGION_MBPS, NODE_MBPS, APPLY_S, **kwargs)
+        region.publish(1, 10)
+        region.start()
+        region.run(8.0)
+        return region
+
+    # A version that grew by many routes must not be late on any node.
+    def test_many_new_routes_are_in_force_in_time(self):
+        region = self.region()
+        region.publish(2, ROUTES)
+        region.run(10.0)
+        self.assertEqual(region.late(2, 8.0 + APPLY_S), [])
+
+    # Changes in quick succession must not fill the link with whole documents.
+    def test_a_series_of_changes_is_in_force_in_time(self):
+        region = self.region()
+        for step in range(12):
+            region.publish(2 + step, ROUTES)
+            region.run(0.33)
+        ended_s = region.now
+        region.run(10.0)
+        self.assertEqual(region.late(13, ended_s + APPLY_S), [])
+
+    # A region whose VMs all return at once must not shut itself out of the store.
+    def test_a_region_that_starts_at_once_has_its_configuration_in_time(self):
+        region = Region(NODES, REGION_MBPS, NODE_MBPS, APPLY_S)
+        region.publish(1, ROUTES)
+        region.start()
+        region.run(10.0)
+        self.assertEqual(region.late(1, APPLY_S), [])
+
+    # What crosses the narrow link must not grow with the number of nodes.
+    def test_few_nodes_read_the_store(self):
+        region = self.region()
+        before = region.link.carried
+        region.publish(2, ROUTES)
+        region.run(5.0)
+        size = len(region.records[-1].value)
+        self.assertLess(region.link.carried - before, 5 * size)
+
+
+if __name__ == "__main__":
+    unittest.main()
