Let a new reader mark the changes that it heard from the one before

Cause: a node took over the entries of a reader's change and moved its end, but not the offset behind the last change that mattered. Once it became the reader, its marks named the older offset, so a node that had missed the change found nothing missing, moved its end past it, and never read it. Class: state that is handed on without what is needed to hand it on again.

Test, failed before (10 where 14 was due): test_a_new_reader_marks_the_changes_that_it_heard_from_the_one_before.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -299,7 +299,8 @@
             if not state.calling:
                 end = max(position.end, one.end)
                 position = change(position, end=end)
-            state.position = change(position, confirmed_s=confirmed_s)
+            changed = max(position.changed, one.changed)
+            state.position = change(position, changed=changed, confirmed_s=confirmed_s)
             return
         if state.calling:
             state.behind = True
@@ -317,6 +318,8 @@
             return
         applied = apply_changes(self.listing, heard.upstreams)
         self._take_listing(applied, heard.node, spread=False)
+        changed = max(state.position.changed, heard.changed)
+        state.position = change(state.position, changed=changed)
         if not state.calling:
             end = max(state.position.end, heard.changed)
             state.position = change(state.position, end=end)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -290,6 +290,19 @@
         self.task.hear_change(FeedChange(ORDER[0], 12, 14, (told,)))
         self.assertIn("a", self.task.listing.upstreams)
 
+    # A node that missed a change must learn of it from the reader that comes next.
+    def test_a_new_reader_marks_the_changes_that_it_heard_from_the_one_before(self):
+        self.read_first(entry("a"))
+        told = ListedUpstream("a", gone=True)
+        self.task.hear_change(FeedChange(ORDER[0], 10, 14, (told,)))
+        self.task.hear_mark(self.mark(0, 14, 14))
+        self.pass_time(2.5)
+        self.take(object)
+        self.task.take_records(Followed(Topic.UPSTREAMS, 14, 20, 20, ()))
+        marks = self.take(FeedMark)[-1].topics
+        changed = {mark.topic: mark.changed for mark in marks}
+        self.assertGreaterEqual(changed[Topic.UPSTREAMS.value], 14)
+
     def test_a_new_configuration_is_fetched_once_it_is_marked(self):
         self.read_first()
         self.take(ReadNewest)
