Do not take a change for heard before all of its datagrams are in

Cause: each datagram of a change named the reader's newest offset, also the second sending of an older change and each page of a large one. A node that got one of them moved its end past entries that were still missing, and did not read them when the other datagrams were lost. Class: an acknowledgement for more than was received.

Now each change names its own two offsets and its pages, and is sent three times. The log line on followed readers is written once a mark, since three a mark pushed other lines over the rate.

Tests, failed before: test_a_repeated_change_names_its_own_offset (12 for 11), test_a_lost_page_of_a_change_is_not_taken_for_heard.

--- a/comfreyusher/feeds/_marks.py
+++ b/comfreyusher/feeds/_marks.py
@@ -10,19 +10,17 @@
     TopicMark,
 )
 
-CHANGE_REPEATS = 2
+CHANGE_REPEATS = 3
 ENTRIES_PER_CHANGE = 8
 MAX_AGE_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Repeat:
-    """Changed entries that are sent ``left`` more times.
-
-    They fit a node that has read up to ``base``.
-    """
+    """Entries changed between two offsets, which are sent ``left`` more times."""
 
     base: int
+    changed: int
     entries: tuple
     left: int = CHANGE_REPEATS
 
@@ -32,11 +30,12 @@
     return change(repeat, left=repeat.left - 1)
 
 
-def pages_of(repeat, node, changed):
+def pages_of(repeat, node):
     """Yield the messages that carry the entries of a repeat."""
-    for start in range(0, len(repeat.entries), ENTRIES_PER_CHANGE):
-        page = repeat.entries[start : start + ENTRIES_PER_CHANGE]
-        yield FeedChange(node, repeat.base, changed, page)
+    starts = range(0, len(repeat.entries), ENTRIES_PER_CHANGE)
+    for page, start in enumerate(starts):
+        entries = repeat.entries[start : start + ENTRIES_PER_CHANGE]
+        yield FeedChange(node, repeat.base, repeat.changed, entries, page, len(starts))
 
 
 def mark_of(topic, position, now):
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -210,7 +210,7 @@
             applied = decide(self.listing, records, departs_s)
             for fault in applied.faults:
                 warn(PART, "entry refused", reason=fault)
-            return self._take_listing(applied, source, spread=True)
+            return self._take_listing(applied, source, end)
         keep_newest(self.kept[topic], records)
         if topic is Topic.CONFIGURATION:
             return self._take_configuration(records, source)
@@ -218,7 +218,8 @@
             self.tell("configuration", DeclarationsRead(end, records))
         return bool(records)
 
-    def _take_listing(self, applied, source, spread):
+    def _take_listing(self, applied, source, spread_end=None):
+        """Take entries; a reader spreads those that it read up to an offset."""
         before = self.listing
         self.listing = applied.listing
         if not applied.changed:
@@ -227,9 +228,9 @@
             log_entry(before, entry, source)
         told = UpstreamsChanged(self.listing.upstreams, applied.changed)
         self.tell("node", told)
-        if spread and self.reading:
-            position = self.topics[Topic.UPSTREAMS].position
-            self.repeats.append(Repeat(position.changed, applied.changed))
+        if spread_end is not None and self.reading:
+            base = self.topics[Topic.UPSTREAMS].position.changed
+            self.repeats.append(Repeat(base, spread_end, applied.changed))
         return True
 
     def _take_configuration(self, records, source):
@@ -256,9 +257,8 @@
         """Tell the region how far this reader is, and what changed."""
         self.marked_s = now
         messages = []
-        changed = self.topics[Topic.UPSTREAMS].position.changed
         for repeat in self.repeats:
-            messages.extend(pages_of(repeat, self.own.node, changed))
+            messages.extend(pages_of(repeat, self.own.node))
         self.repeats = [one_less(repeat) for repeat in self.repeats if repeat.left > 1]
         messages.append(FeedMark(self.own.node, marks_of(self.topics, now)))
         for node in self.nodes:
@@ -275,7 +275,7 @@
         for one in mark.topics:
             state = self.topics.get(Topic(one.topic))
             if state is not None:
-                if state.marker != mark.node:
+                if state.marker != mark.node and one.topic == Topic.UPSTREAMS.value:
                     log_marker(state, one, mark.node, now)
                 state.marker = mark.node
                 self._hear_position(Topic(one.topic), state, one, now)
@@ -317,7 +317,9 @@
         if not state.position.known or state.position.end < heard.base:
             return
         applied = apply_changes(self.listing, heard.upstreams)
-        self._take_listing(applied, heard.node, spread=False)
+        self._take_listing(applied, heard.node)
+        if not state.has_all_pages(heard):
+            return
         changed = max(state.position.changed, heard.changed)
         state.position = change(state.position, changed=changed)
         if not state.calling:
@@ -365,7 +367,7 @@
         note(PART, "snapshot taken", topic=topic.value, age_ms=mark.age_ms)
         if topic is Topic.UPSTREAMS:
             applied = apply_whole(self.listing, given.upstreams)
-            self._take_listing(applied, PEER, spread=False)
+            self._take_listing(applied, PEER)
         else:
             records = tuple(Record(r.key, r.value, r.offset) for r in given.records)
             read = NewestRead(topic, mark.end, records)
@@ -378,7 +380,8 @@
         """Read what is due, become a reader when nobody else is, tell others."""
         now = tick.now_s
         due = release_departures(self.listing, now)
-        self._take_listing(due, STORE, spread=True)
+        changed = self.topics[Topic.UPSTREAMS].position.changed
+        self._take_listing(due, STORE, changed)
         stale_s = now - self._last_confirmed_s()
         if not self.reading and stale_s > self.pace.stale_s(self.rank):
             self.reading = True
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -72,12 +72,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedChange:
-    """Changes of upstreams between two positions.
+    """Changes of upstreams between the positions ``base`` and ``changed``.
 
-    It fits a node whose own position is at ``base`` or later.
+    They fit a node whose own position is at ``base`` or later. A change that is
+    too large for one datagram comes in ``pages``, numbered from 0.
     """
 
     node: str
     base: int
     changed: int
     upstreams: tuple[ListedUpstream, ...]
+    page: int = 0
+    pages: int = 1
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -290,6 +290,34 @@
         self.task.hear_change(FeedChange(ORDER[0], 12, 14, (told,)))
         self.assertIn("a", self.task.listing.upstreams)
 
+    # A change in several datagrams counts as heard only once all of them are in.
+    def test_a_lost_page_of_a_change_is_not_taken_for_heard(self):
+        self.read_first(entry("a"), entry("b"))
+        for name in ("a", "b"):
+            self.assertIn(name, self.task.listing.upstreams)
+        gone = (ListedUpstream("a", gone=True),)
+        self.task.hear_change(FeedChange(ORDER[0], 10, 14, gone, 0, 2))
+        self.assertEqual(self.task.topics[Topic.UPSTREAMS].position.end, 10)
+        gone = (ListedUpstream("b", gone=True),)
+        self.task.hear_change(FeedChange(ORDER[0], 10, 14, gone, 1, 2))
+        self.assertEqual(self.task.topics[Topic.UPSTREAMS].position.end, 14)
+
+    # A repeated change must not speak for a newer one that may be lost.
+    def test_a_repeated_change_names_its_own_offset(self):
+        reader = ReaderTests("test_every_node_reads_once_at_its_start")
+        reader.setUp()
+        reader.read_first(entry("a"), entry("b"))
+        reader.pass_time(1.5)
+        task = reader.task
+        for start, name in ((10, "a"), (11, "b")):
+            removal = (gone(name, start),)
+            task.take_records(
+                Followed(Topic.UPSTREAMS, start, start + 1, start + 1, removal)
+            )
+        told = {(c.base, c.upstreams[0].name): c for c in reader.take(FeedChange)}
+        self.assertEqual(told[10, "a"].changed, 11)
+        self.assertEqual(told[11, "b"].changed, 12)
+
     # A node that missed a change must learn of it from the reader that comes next.
     def test_a_new_reader_marks_the_changes_that_it_heard_from_the_one_before(self):
         self.read_first(entry("a"))
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -104,7 +104,13 @@
     st.builds(ReportHeard, KEYS),
     st.builds(FeedMark, TEXT, st.lists(MARKS, max_size=3).map(tuple)),
     st.builds(
-        FeedChange, TEXT, NUMBER, NUMBER, st.lists(LISTED, max_size=3).map(tuple)
+        FeedChange,
+        TEXT,
+        NUMBER,
+        NUMBER,
+        st.lists(LISTED, max_size=3).map(tuple),
+        NUMBER,
+        NUMBER,
     ),
     st.builds(
         SnapshotGiven,
