--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -131,20 +131,39 @@
         self._call(asked.topic)
 
     def take_records(self, read):
-        """Take the records that follow the position."""
+        """Take the records that follow the position, less those heard meanwhile."""
         state = self.topics[read.topic]
-        if read.start != state.position.end:
+        position = state.position
+        if read.end < read.start:
+            self._leave_old(read)
+            return
+        if read.following < position.end or read.start > position.end:
             state.calling = False
             return
+        news = tuple(r for r in read.records if r.offset >= position.end)
+        read = change(read, records=news)
         changed = self._apply(read, read.following, whole=False, source=STORE)
         behind = read.following < read.end
         self._confirm(read.topic, read.following, changed, behind)
 
     def take_newest(self, read):
         """Take the newest records of a whole topic."""
+        if read.end < self.topics[read.topic].position.end:
+            self._leave_old(read)
+            return
         changed = self._apply(read, read.end, whole=True, source=STORE)
         self._confirm(read.topic, read.end, changed, behind=False)
 
+    def _leave_old(self, read):
+        """Pass over an answer from before what this node knows; read again soon."""
+        state = self.topics[read.topic]
+        known = state.position.end
+        note(PART, "old answer", topic=read.topic.value, end=read.end, known=known)
+        state.calling = False
+        state.failures += 1
+        wait_s = backoff_s(state.failures, self.rank, self.random.random())
+        state.next_s = self.clock() + wait_s
+
     def _confirm(self, topic, end, changed, behind):
         now = self.clock()
         state = self.topics[topic]
@@ -296,11 +315,12 @@
         if position.known and position.end >= one.changed:
             state.behind = False
             confirmed_s = max(position.confirmed_s, now - one.age_ms / 1000)
-            if not state.calling:
-                end = max(position.end, one.end)
-                position = change(position, end=end)
-            changed = max(position.changed, one.changed)
-            state.position = change(position, changed=changed, confirmed_s=confirmed_s)
+            state.position = change(
+                position,
+                end=max(position.end, one.end),
+                changed=max(position.changed, one.changed),
+                confirmed_s=confirmed_s,
+            )
             return
         if state.calling:
             state.behind = True
@@ -320,11 +340,11 @@
         self._take_listing(applied, heard.node)
         if not state.has_all_pages(heard):
             return
-        changed = max(state.position.changed, heard.changed)
-        state.position = change(state.position, changed=changed)
-        if not state.calling:
-            end = max(state.position.end, heard.changed)
-            state.position = change(state.position, end=end)
+        state.position = change(
+            state.position,
+            end=max(state.position.end, heard.changed),
+            changed=max(state.position.changed, heard.changed),
+        )
 
     # Snapshots -------------------------------------------------------------------
 
@@ -358,8 +378,11 @@
         topic = Topic(given.mark.topic)
         state = self.topics[topic]
         mark = given.mark
-        if state.position.known and state.position.end >= mark.changed:
+        position = state.position
+        if position.known and position.end >= mark.changed:
             return
+        if mark.end < position.end:
+            return  # older than what was known before the offset expired
         now = self.clock()
         state.position = Position(
             True, mark.end, mark.changed, now - mark.age_ms / 1000
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -412,6 +412,64 @@
         self.assertLess(self.refuse(9.0), 40)
 
 
+class OldKnowledgeTests(FeedCase):
+    """Records and snapshots that are older than what the node knows."""
+
+    RANK = 2
+
+    def setUp(self):
+        super().setUp()
+        self.read_first(entry("a"), entry("b"))
+        leaving = ListedUpstream("a", "s", "10.0.0.9", 80, "d", 4, leaving=True)
+        self.task.hear_change(FeedChange(ORDER[0], 10, 14, (leaving,)))
+
+    def is_leaving(self):
+        return self.task.listing.upstreams["a"].leaving
+
+    # A store that answers with an old state must not bring back who has left.
+    def test_old_newest_records_do_not_bring_a_leaving_upstream_back(self):
+        known = self.task.topics[Topic.UPSTREAMS].position
+        self.now += 1.0
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "old", True, 50))
+        old = NewestRead(Topic.UPSTREAMS, 12, (entry("a"), entry("b")))
+        self.task.take_newest(old)
+        self.assertTrue(self.is_leaving())
+        position = self.task.topics[Topic.UPSTREAMS].position
+        self.assertEqual(position.confirmed_s, known.confirmed_s)
+        self.pass_time(2.0)
+        self.assertTrue(self.calls(Topic.UPSTREAMS))
+
+    # An answer that ends before what is known proves nothing.
+    def test_an_answer_that_ends_early_confirms_nothing(self):
+        position = self.task.topics[Topic.UPSTREAMS].position
+        self.now += 1.0
+        self.task.topics[Topic.UPSTREAMS].calling = True
+        self.task.take_records(Followed(Topic.UPSTREAMS, 14, 14, 12, ()))
+        after = self.task.topics[Topic.UPSTREAMS].position
+        self.assertEqual(after.confirmed_s, position.confirmed_s)
+
+    # A peer's snapshot that was long under way must not undo a newer change.
+    def test_an_old_snapshot_does_not_undo_a_change_heard_during_a_call(self):
+        self.pass_time(2.5)
+        self.assertTrue(self.task.topics[Topic.UPSTREAMS].calling)
+        leaving = ListedUpstream("b", "s", "10.0.0.9", 80, "d", 4, leaving=True)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 18, (leaving,)))
+        listed = tuple(ListedUpstream(n, "s", "h", 1, "d", 4) for n in ("a", "b"))
+        mark = TopicMark(Topic.UPSTREAMS.value, 16, 16, 2000)
+        self.task.take_snapshot(SnapshotGiven(mark, (), listed))
+        self.assertTrue(self.task.listing.upstreams["b"].leaving)
+
+    # Records that were read while a newer change came are still taken.
+    def test_records_that_overlap_what_was_heard_are_taken(self):
+        self.pass_time(2.5)
+        leaving = ListedUpstream("b", "s", "10.0.0.9", 80, "d", 4, leaving=True)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 16, (leaving,)))
+        records = (entry("b", 15, "draining"), entry("c", 16))
+        self.task.take_records(Followed(Topic.UPSTREAMS, 14, 17, 17, records))
+        self.assertIn("c", self.task.listing.upstreams)
+        self.assertEqual(self.task.topics[Topic.UPSTREAMS].position.end, 17)
+
+
 class OutageTests(FeedCase):
     """Load pattern: a node starts while the store is away."""
 
