Let nodes hand the configuration on, so that few of them read the store

Cause: every node read the whole document from the store for each change, and everything at its start. 52 nodes times 270 kB fill a region link of 60 Mbit/s; reads pass their timeout of 1.5 s and are made again, which keeps it full. Reads of leaving upstreams wait behind them. Class: work that grows with the number of nodes on a shared link, with retries and without a bound.

Change: only readers read. The other nodes ask along a tree of their data centre, compressed (25 kB for 277 kB); who lacks it itself answers once it has it. The store is read if nobody gave it within 0.15 to 0.5 of the bound, at a start in the order of rank.

--- a/comfreyusher/feeds/__init__.py
+++ b/comfreyusher/feeds/__init__.py
@@ -8,6 +8,7 @@
     UpstreamsChanged,
 )
 from comfreyusher.feeds._reader import Pace, backoff_s, rank_readers
+from comfreyusher.feeds._relay import FANOUT, pack_record, parent_of
 from comfreyusher.feeds._state import (
     Applied,
     Listing,
@@ -20,6 +21,7 @@
 from comfreyusher.feeds._task import FeedTask
 
 __all__ = [
+    "FANOUT",
     "Applied",
     "DeclarationsRead",
     "FeedTask",
@@ -34,6 +36,8 @@
     "apply_newest",
     "apply_upstreams",
     "backoff_s",
+    "pack_record",
+    "parent_of",
     "rank_readers",
     "release_departures",
 ]
--- a/comfreyusher/feeds/_marks.py
+++ b/comfreyusher/feeds/_marks.py
@@ -5,7 +5,6 @@
 from comfreyusher.flow import change
 from comfreyusher.messages import (
     FeedChange,
-    KeptRecord,
     SnapshotGiven,
     TopicMark,
 )
@@ -53,8 +52,7 @@
     )
 
 
-def snapshot_of(mark, kept, listing):
+def snapshot_of(mark, packed, listing):
     """Return all that is known of a topic; ``listing`` is for upstreams only."""
-    records = tuple(KeptRecord(r.key, r.value, r.offset) for r in kept)
     upstreams = tuple(listing.upstreams.values()) if listing is not None else ()
-    return SnapshotGiven(mark, records, upstreams)
+    return SnapshotGiven(mark, packed, upstreams)
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -1,9 +1,10 @@
-"""The task that follows the store's topics, itself or through a reader."""
+"""The task that follows the store's topics, itself or through other nodes."""
 
 import random
 
-from comfreyusher.events import note, warn
-from comfreyusher.feeds._log import log_configuration, log_entry, log_marker
+from comfreyusher.events import note
+from comfreyusher.feeds._knowledge import PART, Knowledge
+from comfreyusher.feeds._log import log_marker
 from comfreyusher.feeds._marks import (
     Repeat,
     mark_of,
@@ -14,24 +15,19 @@
 )
 from comfreyusher.feeds._messages import (
     DeclarationsRead,
-    PublishedChanged,
     ReadNow,
     RegionSeen,
     UpstreamsChanged,
 )
 from comfreyusher.feeds._outage import Outage
 from comfreyusher.feeds._reader import backoff_s, rank_readers
+from comfreyusher.feeds._relay import first_read_s, parent_of, store_after_s
 from comfreyusher.feeds._state import (
-    Listing,
     Position,
     apply_changes,
-    apply_configuration,
-    apply_newest,
-    apply_upstreams,
-    apply_whole,
     release_departures,
 )
-from comfreyusher.feeds._topic import TopicState, keep_newest, lacks_a_topic
+from comfreyusher.feeds._topic import Asker, TopicState
 from comfreyusher.flow import Subscribe, Task, Tick, change
 from comfreyusher.messages import (
     FeedChange,
@@ -41,28 +37,25 @@
     ToNode,
 )
 from comfreyusher.platform import (
-    DocumentRefused,
     Follow,
     Followed,
     NewestRead,
     ReadFailed,
     ReadNewest,
-    Record,
     Topic,
 )
 
 CHANNEL = "feeds"
-PART = "feeds"
 TICK_PERIOD_S = 0.25
 DECLARATIONS_WAIT_S = 10.0
-CATCH_UP_JITTER_S = 0.1
-UPSTREAM_JITTER_S = 0.25
+CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
-ASK_PEER_AFTER_S = 0.5
-ASK_PEER_PERIOD_S = 1.0
+ASK_AGAIN_S = 0.5
 ASK_MARKER_AFTER_S = 0.3
+ASKER_KEPT_S = 3.0
 STORE, PEER = "store", "peer"
 FOLLOWED = (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
+NEEDED = (Topic.CONFIGURATION, Topic.UPSTREAMS)
 
 
 class FeedTask(Task):
@@ -75,16 +68,14 @@
         self.random = random.Random(own.node)
         self.topics = {topic: TopicState() for topic in FOLLOWED}
         self.nodes = (own.node,)
+        self.near = (own.node,)
         self.rank = 0
         self.reading = False
-        self.listing = Listing()
-        self.published = None
+        self.known = Knowledge(lambda channel, body: self.tell(channel, body))
         self.repeats = []
         self.marked_s = 0.0
         self.outage = Outage()
         self.started_s = 0.0
-        self.asked_peer_s = 0.0
-        self.kept = {Topic.CONFIGURATION: {}, Topic.DECLARATIONS: {}}
         self.routes = {
             RegionSeen: self.see_region,
             Followed: self.take_records,
@@ -99,17 +90,17 @@
         }
 
     def prepare(self):
-        """Subscribe to the tick, and read everything once."""
+        """Subscribe to the tick."""
         self.started_s = self.clock()
         self.tell("timers", Subscribe(CHANNEL, "tick", TICK_PERIOD_S))
-        for topic in (Topic.CONFIGURATION, Topic.UPSTREAMS):
-            self._call(topic)
 
     def see_region(self, seen):
-        """Learn who else could read."""
+        """Learn who else could read, and whom to ask."""
         self.nodes = rank_readers(self.own.region, seen.nodes)
+        self.near = rank_readers(self.own.data_centre, seen.near)
         known = self.own.node in self.nodes
         self.rank = self.nodes.index(self.own.node) if known else len(self.nodes)
+        self._ask_for_missing(self.clock())
 
     # Calls -------------------------------------------------------------------
 
@@ -119,13 +110,17 @@
             return
         state.calling = True
         state.called_s = self.clock()
-        if state.position.known:
+        if state.position.known and not self._skips_records(topic, state):
             start = state.position.end
             call = Follow(CHANNEL, topic, start, int(wait_s * 1000))
         else:
             call = ReadNewest(CHANNEL, topic)
         self.tell("platform", call)
 
+    def _skips_records(self, topic, state):
+        """Tell whether only the newest of several documents is of interest."""
+        return topic is Topic.CONFIGURATION and state.wanted - state.position.end > 1
+
     def read_now(self, asked):
         """Read a topic at once, for a node that changed it."""
         self._call(asked.topic)
@@ -160,9 +155,7 @@
         known = state.position.end
         note(PART, "old answer", topic=read.topic.value, end=read.end, known=known)
         state.calling = False
-        state.failures += 1
-        wait_s = backoff_s(state.failures, self.rank, self.random.random())
-        state.next_s = self.clock() + wait_s
+        self._back_off(state)
 
     def _confirm(self, topic, end, changed, behind):
         now = self.clock()
@@ -177,14 +170,15 @@
             confirmed_s=position.confirmed_s if behind else now,
         )
         if first and topic is Topic.UPSTREAMS:
-            self.tell("node", UpstreamsChanged(self.listing.upstreams, ()))
+            self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         state.failures = 0
         state.behind = behind
         self.outage.end(now, self._last_confirmed_s())
         state.calling = False
         state.next_s = now if behind else self._next_s(topic, state)
         if end < state.wanted:
-            self._ask_node(state.marker)  # the store's answer was an old one
+            self._ask_node(state.marker, topic)  # the store's answer was an old one
+        self._answer_askers(topic)
         if self.reading and (changed or topic is Topic.UPSTREAMS):
             self._send_marks(now)
 
@@ -203,71 +197,43 @@
             state.next_s = now
             return
         self.outage.begin(now)
-        state.failures += 1
         state.failed_s = now
         if state.behind:
-            self._ask_node(state.marker)
+            self._ask_node(state.marker, failed.topic)
+        self._back_off(state)
+
+    def _back_off(self, state):
+        state.failures += 1
         wait_s = backoff_s(state.failures, self.rank, self.random.random())
-        state.next_s = now + wait_s
+        state.next_s = self.clock() + wait_s
 
     def _last_confirmed_s(self):
         """Return when the store last confirmed the upstreams, or the start."""
         position = self.topics[Topic.UPSTREAMS].position
         return max(position.confirmed_s, self.started_s)
 
-    # Records -------------------------------------------------------------------
-
     def _apply(self, read, end, whole, source):
         """Apply records of a topic; return whether they matter.
 
         ``source`` names the node that gave them, or the store.
         """
-        topic, records = read.topic, read.records
-        if topic is Topic.UPSTREAMS:
-            decide = apply_newest if whole else apply_upstreams
-            departs_s = self.outage.departs_s(self.clock(), self._last_confirmed_s())
-            applied = decide(self.listing, records, departs_s)
-            for fault in applied.faults:
-                warn(PART, "entry refused", reason=fault)
-            return self._take_listing(applied, source, end)
-        keep_newest(self.kept[topic], records)
-        if topic is Topic.CONFIGURATION:
-            return self._take_configuration(records, source)
-        if records or whole:
-            self.tell("configuration", DeclarationsRead(end, records))
-        return bool(records)
-
-    def _take_listing(self, applied, source, spread_end=None):
-        """Take entries; a reader spreads those that it read up to an offset."""
-        before = self.listing
-        self.listing = applied.listing
-        if not applied.changed:
-            return False
-        for entry in applied.changed:
-            log_entry(before, entry, source)
-        told = UpstreamsChanged(self.listing.upstreams, applied.changed)
-        self.tell("node", told)
-        if spread_end is not None and self.reading:
+        if read.topic is not Topic.UPSTREAMS:
+            waited_ms = self._waited_ms(read.topic)
+            return self.known.take_records(read.topic, read, whole, source, waited_ms)
+        departs_s = self.outage.departs_s(self.clock(), self._last_confirmed_s())
+        changed = self.known.read_upstreams(read.records, whole, departs_s, source)
+        self._spread(changed, end)
+        return bool(changed)
+
+    def _spread(self, changed, end):
+        """Tell the region of entries that this reader read up to an offset."""
+        if changed and self.reading:
             base = self.topics[Topic.UPSTREAMS].position.changed
-            self.repeats.append(Repeat(base, spread_end, applied.changed))
-        return True
-
-    def _take_configuration(self, records, source):
-        try:
-            found = apply_configuration(self.published, records)
-        except DocumentRefused as error:
-            warn(PART, "configuration refused", reason=str(error))
-            return False
-        if found is self.published:
-            return False
-        self.published = found
-        log_configuration(found, self.kept[Topic.CONFIGURATION], source, self._waited())
-        self.tell("node", PublishedChanged(found))
-        return True
-
-    def _waited(self):
-        """Return for how many milliseconds a newer configuration was known of."""
-        state = self.topics[Topic.CONFIGURATION]
+            self.repeats.append(Repeat(base, end, changed))
+
+    def _waited_ms(self, topic):
+        """Return for how many milliseconds newer records were known of."""
+        state = self.topics[topic]
         return int((self.clock() - state.wanted_s) * 1000) if state.behind else 0
 
     # Marks -----------------------------------------------------------------------
@@ -322,22 +288,44 @@
                 confirmed_s=confirmed_s,
             )
             return
-        if state.calling:
-            state.behind = True
-        elif not state.behind:
-            late = UPSTREAM_JITTER_S if topic is Topic.UPSTREAMS else CATCH_UP_JITTER_S
-            state.next_s = now + self.random.random() * late
+        if not state.behind:
             state.behind = True
-        elif now - state.failed_s > RETRY_BEHIND_S:
+            self._begin_catching_up(topic, state, now)
+        elif now - max(state.failed_s, state.asked_s) > RETRY_BEHIND_S:
             state.next_s = min(state.next_s, now)
 
+    def _begin_catching_up(self, topic, state, now):
+        """Ask another node for what is missing, and plan a read of the store."""
+        state.store_s = now + self.random.random() * CATCH_UP_JITTER_S
+        state.next_s = min(state.next_s, state.store_s)
+        if state.calling or not self._is_relayed(topic, state):
+            return
+        parent = self._parent(state)
+        if not parent:
+            return
+        self._ask_node(parent, topic)
+        is_head = self.near[:1] == (self.own.node,)
+        wait_s = store_after_s(self.pace.apply_s, is_head, self.random.random())
+        state.store_s = now + wait_s
+
+    def _is_relayed(self, topic, state):
+        """Tell whether nodes give each other what follows, instead of the store.
+
+        Entries of upstreams that are missing are few.
+        """
+        return topic is not Topic.UPSTREAMS or not state.position.known
+
+    def _parent(self, state):
+        reader = state.marker or self.nodes[0]
+        return parent_of(self.own.node, self.near, reader)
+
     def hear_change(self, heard):
         """Take changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
         if not state.position.known or state.position.end < heard.base:
             return
-        applied = apply_changes(self.listing, heard.upstreams)
-        self._take_listing(applied, heard.node)
+        applied = apply_changes(self.known.listing, heard.upstreams)
+        self.known.take_listing(applied, heard.node)
         if not state.has_all_pages(heard):
             return
         state.position = change(
@@ -345,33 +333,53 @@
             end=max(state.position.end, heard.changed),
             changed=max(state.position.changed, heard.changed),
         )
+        self._answer_askers(Topic.UPSTREAMS)
 
     # Snapshots -------------------------------------------------------------------
 
-    def _ask_peer(self, now):
-        """Ask another node for what this node could not read."""
-        others = [node for node in self.nodes if node != self.own.node]
-        if not others or now - self.asked_peer_s < ASK_PEER_PERIOD_S:
-            return
-        self.asked_peer_s = now
-        self._ask_node(self.random.choice(others))
-
-    def _ask_node(self, node):
-        """Ask a node for all that it knows."""
-        self.tell("peers", ToNode(node, SnapshotAsked(self.own.node)))
+    def _ask_for_missing(self, now):
+        """Ask for what was never known: the parent first, then anyone."""
+        for topic in NEEDED:
+            state = self.topics[topic]
+            if not state.fresh or now - state.asked_s < ASK_AGAIN_S:
+                continue
+            others = [node for node in self.nodes if node != self.own.node]
+            parent = self._parent(state)
+            if others and (state.asked_s or not parent):
+                parent = self.random.choice(others)
+            if parent:
+                self._ask_node(parent, topic)
+
+    def _ask_node(self, node, topic):
+        """Ask a node for what it knows of a topic beyond this node."""
+        state = self.topics[topic]
+        state.asked_s = self.clock()
+        end = state.position.end if state.position.known else -1
+        self.tell("peers", ToNode(node, SnapshotAsked(self.own.node, topic.value, end)))
 
     def give_snapshot(self, asked):
-        """Send all that this node knows."""
-        now = self.clock()
-        for topic, state in self.topics.items():
-            if not state.position.known:
-                continue
-            given = snapshot_of(
-                mark_of(topic, state.position, now),
-                self.kept.get(topic, {}).values(),
-                self.listing if topic is Topic.UPSTREAMS else None,
-            )
-            self.tell("peers", ToNode(asked.asker, given))
+        """Send what this node knows, or note who waits for it."""
+        if not asked.topic:
+            for topic in FOLLOWED:
+                if self.topics[topic].position.known:
+                    self._give(topic, asked.asker)
+            return
+        topic = Topic(asked.topic)
+        state = self.topics[topic]
+        state.askers[asked.asker] = Asker(asked.end, self.clock() + ASKER_KEPT_S)
+        self._answer_askers(topic)
+
+    def _answer_askers(self, topic):
+        for asker in self.topics[topic].take_ready_askers(self.clock()):
+            self._give(topic, asker)
+
+    def _give(self, topic, asker):
+        given = snapshot_of(
+            mark_of(topic, self.topics[topic].position, self.clock()),
+            self.known.pack(topic),
+            self.known.listing if topic is Topic.UPSTREAMS else None,
+        )
+        self.tell("peers", ToNode(asker, given))
 
     def take_snapshot(self, given):
         """Take what another node knows of a topic, if this node knows less."""
@@ -383,56 +391,64 @@
             return
         if mark.end < position.end:
             return  # older than what was known before the offset expired
+        records = self.known.unpack(topic, given.records) if given.records else ()
+        if records is None:
+            return
         now = self.clock()
         state.position = Position(
             True, mark.end, mark.changed, now - mark.age_ms / 1000
         )
         note(PART, "snapshot taken", topic=topic.value, age_ms=mark.age_ms)
         if topic is Topic.UPSTREAMS:
-            applied = apply_whole(self.listing, given.upstreams)
-            self._take_listing(applied, PEER)
+            self.known.take_whole_listing(given.upstreams, PEER)
+            self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         else:
-            records = tuple(Record(r.key, r.value, r.offset) for r in given.records)
             read = NewestRead(topic, mark.end, records)
             self._apply(read, mark.end, whole=True, source=PEER)
-        state.behind = False
+        self._answer_askers(topic)
+        state.behind = state.wanted > mark.end
+        if state.behind:
+            self._begin_catching_up(topic, state, now)
 
     # Time ------------------------------------------------------------------------
 
     def on_tick(self, tick):
         """Read what is due, become a reader when nobody else is, tell others."""
         now = tick.now_s
-        due = release_departures(self.listing, now)
-        changed = self.topics[Topic.UPSTREAMS].position.changed
-        self._take_listing(due, STORE, changed)
+        due = release_departures(self.known.listing, now)
+        gone = self.known.take_listing(due, STORE)
+        self._spread(gone, self.topics[Topic.UPSTREAMS].position.changed)
+        self._ask_for_missing(now)
         stale_s = now - self._last_confirmed_s()
         if not self.reading and stale_s > self.pace.stale_s(self.rank):
             self.reading = True
             note(PART, "reader starts", rank=self.rank, stale_s=round(stale_s, 2))
         for topic, state in self.topics.items():
             if not state.calling and now >= state.next_s:
-                self._read_if_needed(topic, state)
+                self._read_if_needed(topic, state, now)
             elif state.calling and state.behind:
-                self._ask_if_slow(state, now)
-        if now - self.started_s > ASK_PEER_AFTER_S and lacks_a_topic(self.topics):
-            self._ask_peer(now)
+                self._ask_if_slow(topic, state, now)
         if self.reading and now - self.marked_s >= 2 * self.pace.follow_s:
             self._send_marks(now)
 
-    def _ask_if_slow(self, state, now):
+    def _ask_if_slow(self, topic, state, now):
         """Ask the reader once for what the store takes long to give."""
         if state.asked_s < state.called_s <= now - ASK_MARKER_AFTER_S:
-            state.asked_s = now
-            self._ask_node(state.marker)
+            self._ask_node(state.marker, topic)
 
-    def _read_if_needed(self, topic, state):
-        missing = not state.position.known and topic is not Topic.DECLARATIONS
-        if not self.reading:
-            if state.behind or missing:
+    def _read_if_needed(self, topic, state, now):
+        """Read the store as a reader, or after nobody else gave what is missing."""
+        if topic in NEEDED and state.fresh:
+            due_s = self.started_s + first_read_s(self.rank)
+            if now >= max(due_s, state.store_s):
                 self._call(topic)
-            return
-        waits = {
-            Topic.CONFIGURATION: self.pace.configuration_wait_s,
-            Topic.DECLARATIONS: DECLARATIONS_WAIT_S,
-        }
-        self._call(topic, waits.get(topic, 0.0))
+        elif self.reading:
+            waits = {
+                Topic.CONFIGURATION: self.pace.configuration_wait_s,
+                Topic.DECLARATIONS: DECLARATIONS_WAIT_S,
+            }
+            self._call(topic, waits.get(topic, 0.0))
+        elif state.behind and now >= state.store_s:
+            self._call(topic)
+        elif topic in NEEDED and not state.position.known:
+            self._call(topic)
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-from comfreyusher.feeds._state import Position
-from comfreyusher.platform import Topic
+from comfreyusher.feeds._state import NEVER_S, Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,12 +14,21 @@
     page: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asker:
+    """A node that waits for what follows the offset ``end``, until ``until_s``."""
+
+    end: int
+    until_s: float
+
+
 class TopicState:
     """State of one topic: its position and the call that is under way.
 
-    ``marker`` is the reader that knows of the offset ``wanted`` since ``wanted_s``;
-    it was asked for its records at ``asked_s``. ``pages`` are those of a change
-    that is not complete. Times are monotonic seconds.
+    ``marker`` is the reader that knows of the offset ``wanted`` since ``wanted_s``.
+    While this node is ``behind``, another one was asked at ``asked_s``, and the
+    store is read at ``store_s``. ``askers`` are nodes that wait for this one,
+    ``pages`` those of a change that is not complete. Times are monotonic seconds.
     """
 
     def __init__(self):
@@ -35,8 +43,29 @@
         self.wanted = 0
         self.wanted_s = 0.0
         self.asked_s = 0.0
+        self.store_s = 0.0
+        self.askers = {}
         self.pages = frozenset()
 
+    @property
+    def fresh(self):
+        """Whether nothing was ever known of the topic."""
+        return self.position.confirmed_s == NEVER_S
+
+    def has_news(self, end):
+        """Tell whether anything that matters follows an offset."""
+        return self.position.known and self.position.changed > end
+
+    def take_ready_askers(self, now):
+        """Return and forget the askers that can be answered; forget old ones."""
+        ready = [node for node, one in self.askers.items() if self.has_news(one.end)]
+        self.askers = {
+            node: one
+            for node, one in self.askers.items()
+            if node not in ready and one.until_s > now
+        }
+        return ready
+
     def has_all_pages(self, heard):
         """Note a page of a change; tell whether all pages of it are in."""
         if heard.pages == 1:
@@ -54,9 +83,3 @@
             kept[record.key] = record
         else:
             kept.pop(record.key, None)
-
-
-def lacks_a_topic(topics):
-    """Tell whether a topic that is needed to serve was never read."""
-    needed = (Topic.CONFIGURATION, Topic.UPSTREAMS)
-    return not all(topics[topic].position.known for topic in needed)
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptRecord:
-    """The newest record of a key, as a node keeps it for others."""
+    """The newest record of a key, as it travels: ``value`` is compressed."""
 
     key: str
     value: bytes
@@ -56,14 +56,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotAsked:
-    """Ask a node for all that it knows, while the store does not answer."""
+    """Ask a node for what it knows of a topic after the offset ``end``.
+
+    A node that knows no more answers once it does, within some seconds. Without
+    a topic all is asked for that is known now.
+    """
 
     asker: str
+    topic: str = ""
+    end: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotGiven:
-    """All that a node knows of a topic: raw records, or upstreams."""
+    """All that a node knows of a topic: packed records, or upstreams."""
 
     mark: TopicMark
     records: tuple[KeptRecord, ...] = ()
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -150,8 +150,7 @@
         addresses = PeerAddresses(streams, datagrams)
         self.tell("peers", addresses)
         self.tell("datagrams", addresses)
-        near = [r.node for r in changed.members if r.region == self.own.region]
-        self.tell("feeds", RegionSeen(tuple(near)))
+        self.tell("feeds", self._region_of(changed.members))
         self.tell("directory", changed)
         nodes = tuple(record.node for record in changed.members)
         self.tell("configuration", NodesSeen(nodes))
@@ -159,6 +158,12 @@
         self.tell("accounts", FleetSeen(frozenset(nodes), buddy))
         self._tell_situation()
 
+    def _region_of(self, members):
+        own = self.own
+        region = [record for record in members if record.region == own.region]
+        near = [r.node for r in region if r.data_centre == own.data_centre]
+        return RegionSeen(tuple(record.node for record in region), tuple(near))
+
     def _replan(self):
         self.book = derive_plans(self.book, self.table)
         self.tell("owner", PlansKnown(self.book.plans))
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -24,6 +24,7 @@
     Queued,
     Report,
     ReportHeard,
+    SnapshotAsked,
     SnapshotGiven,
     ToNode,
     TopicMark,
@@ -112,6 +113,7 @@
         NUMBER,
         NUMBER,
     ),
+    st.builds(SnapshotAsked, TEXT, TEXT, NUMBER),
     st.builds(
         SnapshotGiven,
         MARKS,
