Keep an owner's choice cheap while many requests wait and upstreams fail

Callers of a large group waited seconds and got 500 and 504 at the crest; nodes took the owner for silent and 71 of them began to own the same group.

Cause: with free slots only on upstreams that probably fail, each report made the owner weigh every upstream anew for up to 64 requests of the queue that had to go on waiting. Class: work that multiplies with the queue just when there is too much.

Change: what a moment's choices share is surveyed once, and work of a kind that was left waiting is not weighed again further back unless it is wanted sooner.

--- a/comfreyusher/owner/_asks.py
+++ b/comfreyusher/owner/_asks.py
@@ -1,17 +1,23 @@
 """Decisions on asks of entry nodes: admission, queue, grants."""
 
 import dataclasses
+import math
 
 from comfreyusher.flow import change, passed, pipe, stopped
 from comfreyusher.health import Standing
-from comfreyusher.messages import Denial, DenialReason, Grant, Queued
+from comfreyusher.messages import Denial, DenialReason, Grant, Queued, WorkClass
 from comfreyusher.owner._admit import estimate_wait, is_too_late, retry_after_ms
 from comfreyusher.owner._arrivals import note_arrival
 from comfreyusher.owner._budget import allows_repeat, slack_of
-from comfreyusher.owner._choose import Purpose, choose_upstream
+from comfreyusher.owner._choose import (
+    Purpose,
+    choose_upstream,
+    survey_again,
+    survey_upstreams,
+)
 from comfreyusher.owner._messages import to_asker
 from comfreyusher.owner._queue import count_queued_short, dequeue, enqueue
-from comfreyusher.owner._room import has_free_slot
+from comfreyusher.owner._room import is_suspect
 from comfreyusher.owner._state import Work, replace_upstream
 from comfreyusher.owner._window import count
 
@@ -160,26 +166,59 @@
     """Grant queued work while upstreams have free slots, in queue order.
 
     Work behind another that waits may still fit another upstream, so the scan
-    goes on for a bounded number of places.
+    goes on for a bounded number of places. Work of a kind that was left waiting
+    has no better chance further back, unless it is wanted sooner.
     """
     messages = ()
-    free = has_free_slot(group, now)
+    survey = survey_upstreams(group, now)
+    left_waiting = {}
     for place in group.queue[:MAX_SCANNED]:
-        if not free:
+        if not survey.has_free():
             break
         work = group.works[place.key]
         if place.deadline_s <= now:
             continue
-        choice = choose_upstream(group, work, now)
+        kind = kind_of(group, work)
+        if work.target_s >= left_waiting.get(kind, math.inf):
+            continue
+        choice = choose_upstream(group, work, survey, now)
         if choice is None:
+            left_waiting[kind] = work.target_s
             continue
         step = grant(group, work, choice, now)
         group = step.state
-        free = has_free_slot(group, now)
+        survey = survey_again(survey, group, choice.upstream.name, now)
         messages += step.messages
     return stopped(group, None, *messages)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """What decides, beside its target, if work has to wait."""
+
+    flow: str
+    work_class: WorkClass
+    idempotent: bool
+    last: bool
+    suspect: bool
+    tried: tuple
+    avoided: tuple
+
+
+def kind_of(group, work):
+    """Return the ``Kind`` of a piece of work."""
+    ask = work.ask
+    return Kind(
+        ask.flow,
+        ask.work_class,
+        ask.idempotent,
+        ask.last,
+        is_suspect(group, work),
+        ask.tried,
+        ask.avoided,
+    )
+
+
 def grant(group, work, choice, now):
     """Return the group with the work on an upstream, and the grant or a denial."""
     spread = choice.purpose is Purpose.SPREAD
--- a/comfreyusher/owner/_choose.py
+++ b/comfreyusher/owner/_choose.py
@@ -10,8 +10,9 @@
 import enum
 import math
 
+from comfreyusher.flow import change
 from comfreyusher.health import failing_now
-from comfreyusher.owner._room import has_room, is_allowed
+from comfreyusher.owner._room import fits, free_limit, is_allowed, takes_work
 from comfreyusher.owner._spread import is_unused, needs_spread, seems_sound
 from comfreyusher.owner._state import NEVER_S
 
@@ -49,7 +50,54 @@
     purpose: Purpose = Purpose.SERVE
 
 
-def choose_upstream(group, work, now):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prospect:
+    """An upstream that may get work: the risk that it fails, and if it has a slot."""
+
+    upstream: object
+    risk: float
+    free: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Survey:
+    """What the choices of one moment share: the ``Prospect`` tuple, and the spread."""
+
+    prospects: tuple
+    spreading: bool
+
+    def has_free(self):
+        """Tell whether any upstream could take one more request."""
+        return any(prospect.free for prospect in self.prospects)
+
+
+def survey_upstreams(group, now):
+    """Return the ``Survey`` of a group."""
+    prospects = tuple(
+        _prospect_of(group, upstream, now)
+        for upstream in group.upstreams.values()
+        if takes_work(upstream)
+    )
+    return Survey(prospects, needs_spread(group, now))
+
+
+def survey_again(survey, group, name, now):
+    """Return the survey after one upstream of the group got work."""
+    renewed = _prospect_of(group, group.upstreams[name], now)
+    prospects = tuple(
+        renewed if prospect.upstream.name == name else prospect
+        for prospect in survey.prospects
+    )
+    return change(survey, prospects=prospects)
+
+
+def _prospect_of(group, upstream, now):
+    risk = failing_now(upstream.odds, group.plan.profile.detection, now)
+    free = upstream.in_flight < free_limit(group, upstream, now)
+    return Prospect(upstream, risk, free)
+
+
+def choose_upstream(group, work, survey, now):
     """Return the ``Choice`` for the work, or ``None`` to let it wait.
 
     While requests fail, a sound upstream that is unused comes first. Attempts
@@ -57,16 +105,15 @@
     """
     best, best_rank = None, (math.inf,)
     least_risk, safe_slots = 1.0, 0
-    spreading = needs_spread(group, now)
-    for upstream in group.upstreams.values():
-        if not is_allowed(group, upstream, work, now):
+    for prospect in survey.prospects:
+        upstream, risk = prospect.upstream, prospect.risk
+        if not is_allowed(upstream, work, now):
             continue
-        risk = failing_now(upstream.odds, group.plan.profile.detection, now)
         least_risk = min(least_risk, risk)
         safe_slots += upstream.slots if risk < HOLD_RISK else 0
-        if not has_room(group, upstream, work, now):
+        if not prospect.free or not fits(group, upstream, work):
             continue
-        purpose = purpose_of(upstream, work.ask, risk, spreading, now)
+        purpose = purpose_of(upstream, work.ask, risk, survey.spreading, now)
         cost = cost_of(upstream, work.ask, risk) if purpose is Purpose.SERVE else 0.0
         rank = (purpose, cost, upstream.last_grant_s, upstream.name)
         if rank < best_rank:
--- a/comfreyusher/owner/_room.py
+++ b/comfreyusher/owner/_room.py
@@ -11,25 +11,26 @@
 PROBATION_PATIENCE_S = 2.0
 
 
-def is_allowed(group, upstream, work, now):
-    """Tell whether the upstream may get this work once it has room."""
+def takes_work(upstream):
+    """Tell whether the upstream gets any work at all."""
     standing = upstream.health.standing
-    if standing in (Standing.EJECTED, Standing.LEAVING):
-        return False
+    return standing is not Standing.EJECTED and standing is not Standing.LEAVING
+
+
+def is_allowed(upstream, work, now):
+    """Tell whether an upstream that takes work may get this one."""
     ask = work.ask
     if upstream.name in ask.tried:
         return False
     if upstream.name in ask.avoided and now - work.queued_s < AVOID_S:
         return False
-    if standing is Standing.PROBATION and not ask.idempotent:
+    if upstream.health.standing is Standing.PROBATION and not ask.idempotent:
         return now - upstream.health.since_s > PROBATION_PATIENCE_S
     return True
 
 
-def has_room(group, upstream, work, now):
-    """Tell whether an upstream has a free slot for this work."""
-    if upstream.in_flight >= free_limit(group, upstream, now):
-        return False
+def fits(group, upstream, work):
+    """Tell whether this work may take a free slot of the upstream."""
     if is_suspect(group, work) and runs_suspect(group, upstream):
         return False
     if group.is_long(work):
@@ -38,14 +39,6 @@
     return True
 
 
-def has_free_slot(group, now):
-    """Tell whether any upstream could take one more request now."""
-    return any(
-        upstream.in_flight < free_limit(group, upstream, now)
-        for upstream in group.upstreams.values()
-    )
-
-
 def free_limit(group, upstream, now):
     """Return how many requests an upstream may run at once now."""
     slow_start_s = group.plan.profile.slow_start_ms / 1000
