Forget told changes when reading stops, and leave old changes alone

Cause: a change is told several times. A node that stopped reading before the last time kept the rest, and told it when it became a reader again, seconds later and with the newest offset, so that every node of the region took it for news: an upstream that had gone was listed again everywhere. Ruled out: the store's answers (the entries have a reader as source), and a restart of the upstream (its address answers as another one).

Now the list of changes is dropped with the reading, and a change that ends at or before what a node knows is left alone; removals that were held back keep a sign of their own. Tests, two failed before: test_a_reader_that_stopped_forgets_the_changes.., test_an_old_change_does_not_bring_a_leaving_upstream_back.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -269,6 +269,7 @@
         if self.reading and rank < self.rank:
             if now - fresh_s < self.pace.stale_s(rank):
                 self.reading = False
+                self.repeats = []
                 note(PART, "reader stops", better=mark.node)
 
     def _hear_position(self, topic, state, one, now):
@@ -322,7 +323,11 @@
     def hear_change(self, heard):
         """Take changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
-        if not state.position.known or state.position.end < heard.base:
+        position = state.position
+        if not position.known or position.end < heard.base:
+            return
+        held_back = heard.base == heard.changed
+        if heard.changed <= position.end and not held_back:
             return
         applied = apply_changes(self.known.listing, heard.upstreams)
         self.known.take_listing(applied, heard.node)
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -80,8 +80,9 @@
 class FeedChange:
     """Changes of upstreams between the positions ``base`` and ``changed``.
 
-    They fit a node whose own position is at ``base`` or later. A change that is
-    too large for one datagram comes in ``pages``, numbered from 0.
+    They fit a node whose own position is at ``base`` or later. Removals that were
+    held back have the same two positions. A change that is too large for one
+    datagram comes in ``pages``, numbered from 0.
     """
 
     node: str
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -527,6 +527,29 @@
         self.task.take_snapshot(SnapshotGiven(mark, (), listed))
         self.assertTrue(self.task.known.listing.upstreams["b"].leaving)
 
+    # A change from before what is known must not bring back who has left.
+    def test_an_old_change_does_not_bring_a_leaving_upstream_back(self):
+        listed = ListedUpstream("a", "s", "10.0.0.9", 80, "d", 4)
+        self.task.hear_change(FeedChange(ORDER[3], 9, 12, (listed,)))
+        self.assertTrue(self.is_leaving())
+
+    # A node that reads again must not repeat what it told as a reader before.
+    def test_a_reader_that_stopped_forgets_the_changes_that_it_told(self):
+        self.pass_time(2.5)
+        self.task.take_records(Followed(Topic.UPSTREAMS, 14, 15, 15, (entry("c", 14),)))
+        self.assertEqual(len(self.take(FeedChange)), len(NODES) - 1)
+        self.task.hear_mark(self.mark(0, 15, 15))
+        self.assertFalse(self.task.reading)
+        self.pass_time(4.0)
+        self.assertTrue(self.task.reading)
+        self.assertEqual(self.take(FeedChange), [])
+
+    # A removal that was held back reaches nodes that are as far as the reader.
+    def test_a_removal_that_was_held_back_is_taken_at_the_same_offset(self):
+        gone = ListedUpstream("b", gone=True)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 14, (gone,)))
+        self.assertNotIn("b", self.task.known.listing.upstreams)
+
     # Records that were read while a newer change came are still taken.
     def test_records_that_overlap_what_was_heard_are_taken(self):
         self.pass_time(2.5)
