Stay behind until all that was marked is there, whoever marks less

Cause: a node that lacks what one reader has marked took a mark of another reader, which knew less, for proof that it had everything; and forgot to read. With two readers that take turns it never read, and what it knew counted as fresh. Ruled out: the link (others of that data centre have it after 0.02 s). Class: the last message wins, in place of the newest knowledge.

The node now stays behind until it is as far as the furthest mark, and follows no reader that knows less.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -260,9 +260,8 @@
         for one in mark.topics:
             state = self.topics.get(Topic(one.topic))
             if state is not None:
-                if state.marker != mark.node and one.topic == Topic.UPSTREAMS.value:
-                    log_marker(state, one, mark.node, now)
-                state.marker = mark.node
+                if one.changed >= state.wanted:
+                    self._follow_marker(state, one, mark.node, now)
                 self._hear_position(Topic(one.topic), state, one, now)
             if one.topic == Topic.UPSTREAMS.value:
                 fresh_s = now - one.age_ms / 1000
@@ -272,6 +271,12 @@
                 self.repeats = []
                 note(PART, "reader stops", better=mark.node)
 
+    def _follow_marker(self, state, one, node, now):
+        """Remember a reader that knows as much as any before."""
+        if state.marker != node and one.topic == Topic.UPSTREAMS.value:
+            log_marker(state, one, node, now)
+        state.marker = node
+
     def _hear_position(self, topic, state, one, now):
         position = state.position
         if not one.changed and not position.known and topic is Topic.DECLARATIONS:
@@ -279,7 +284,7 @@
             self.tell("configuration", DeclarationsRead(0, ()))
         if one.changed > state.wanted:
             state.wanted, state.wanted_s = one.changed, now
-        if position.known and position.end >= one.changed:
+        if position.known and position.end >= state.wanted:
             state.behind = False
             confirmed_s = max(position.confirmed_s, now - one.age_ms / 1000)
             state.position = change(
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -355,6 +355,20 @@
         self.pass_time(0.25)
         self.assertEqual(self.calls(Topic.CONFIGURATION), [])
 
+    # A reader that knows less must not talk a node out of what it lacks.
+    def test_a_mark_of_a_reader_that_knows_less_does_not_end_the_catching_up(self):
+        self.read_first()
+        self.take(object)
+        confirmed_s = self.task.topics[Topic.CONFIGURATION].position.confirmed_s
+        for _ in range(4):
+            self.task.hear_mark(self.mark(0, 2, 2, topic=Topic.CONFIGURATION))
+            self.pass_time(0.5)
+            old = self.mark(1, 1, 1, topic=Topic.CONFIGURATION)
+            self.task.hear_mark(old)
+        self.assertTrue(self.calls(Topic.CONFIGURATION))
+        position = self.task.topics[Topic.CONFIGURATION].position
+        self.assertEqual(position.confirmed_s, confirmed_s)
+
     # A parent that is gone must not keep a configuration from its children.
     def test_a_configuration_that_nobody_gives_is_read_from_the_store(self):
         self.read_first()
