Believe a refusal on a used connection only if it names its request

One that names another request was passed over before, and still is. Class: an answer that is taken for one's own by its place alone.

Now a reply on a used connection has to name its request, or the connection is given up and the outcome is unknown; and a request that failed on a connection does not return to it. Each such reply leaves a line 'reply refused'. On a connection's first request nothing can be left over, so a reply without an id is still taken there.

In test_http_parsing the closure that told foreign replies now tells the origin; what is asserted is the same.

--- a/comfreyusher/http/__init__.py
+++ b/comfreyusher/http/__init__.py
@@ -2,7 +2,7 @@
 
 from comfreyusher.http._client import HttpClientTask
 from comfreyusher.http._errors import HttpError
-from comfreyusher.http._parse import ReplyParser, RequestParser
+from comfreyusher.http._parse import Origin, ReplyParser, RequestParser
 from comfreyusher.http._server import (
     HttpLimits,
     HttpServerTask,
@@ -18,6 +18,7 @@
     "HttpLimits",
     "HttpServerTask",
     "IdleTimeout",
+    "Origin",
     "ReplyParser",
     "RequestParser",
     "answer_bytes",
--- a/comfreyusher/http/_client.py
+++ b/comfreyusher/http/_client.py
@@ -7,9 +7,10 @@
 import collections
 import re
 
+from comfreyusher.events import note
 from comfreyusher.flow import StreamTask, Subscribe, Tick, Unsubscribe
 from comfreyusher.http._errors import HttpError
-from comfreyusher.http._parse import Body, Head, ReplyParser
+from comfreyusher.http._parse import Body, Head, Origin, ReplyParser
 from comfreyusher.http._write import write_chunk, write_request_head
 from comfreyusher.messages import (
     ReplyBody,
@@ -31,6 +32,8 @@
 CONNECT_TIMEOUT_S = 1.0
 WINDOW_BYTES = 262144
 MAX_IDLE_CONNECTIONS = 16
+MAX_FAILED_IDS = 16
+FIRST_ERROR_STATUS = 400
 
 
 def with_host(head, place):
@@ -52,7 +55,11 @@
 
 
 class ClientConnection:
-    """State of one connection to a server."""
+    """State of one connection to a server.
+
+    ``used`` tells that it carried a request before the present one,
+    ``failed_ids`` are the requests whose failure or refusal came over it.
+    """
 
     def __init__(self, place, now):
         self.place = place
@@ -71,6 +78,9 @@
         self.keep_alive = True
         self.owed_bytes = 0
         self.uncredited_bytes = 0
+        self.used = False
+        self.reply_id = ""
+        self.failed_ids = ()
 
 
 class HttpClientTask(StreamTask):
@@ -117,7 +127,7 @@
     def start_request(self, start):
         """Take a kept-alive connection or open one, and write the request."""
         place = (start.host, start.port)
-        number = self._take_idle(place, start.max_idle_s)
+        number = self._take_idle(place, start)
         if number is None:
             number = self.open_connection(start.host, start.port)
             self.opened_total += 1
@@ -130,23 +140,33 @@
         self.exchanges[start.exchange] = number
         self._write_start(number, state, start)
 
-    def _take_idle(self, place, max_idle_s):
-        """Return the connection that was used last, if that is recent enough."""
-        numbers = self.idle.get(place)
+    def _take_idle(self, place, start):
+        """Return the connection that was used last, if that is recent enough.
+
+        A request that failed on a connection does not return there: its first
+        reply, written once more, would be taken for the second.
+        """
+        numbers = self.idle.pop(place, [])
         now = self.clock()
-        while numbers:
+        kept, found = [], None
+        while numbers and found is None:
             number = numbers.pop()
             state = self.states.get(number)
             if state is None:
                 continue
-            if now - state.last_used < min(max_idle_s, state.idle_limit_s):
-                return number
-            self.abort(number)
-        self.idle.pop(place, None)
-        return None
+            if now - state.last_used >= min(start.max_idle_s, state.idle_limit_s):
+                self.abort(number)
+            elif start.reply_id and start.reply_id in state.failed_ids:
+                kept.insert(0, number)
+            else:
+                found = number
+        if numbers or kept:
+            self.idle[place] = numbers + kept
+        return found
 
     def _write_start(self, number, state, start):
-        state.parser.expect_reply(start.head.method, self._foreign_to(start))
+        state.parser.expect_reply(start.head.method, self._origin_for(start, state))
+        state.reply_id = start.reply_id
         state.reply_started = False
         state.reply_ended = False
         state.request_ended = start.ended
@@ -163,16 +183,18 @@
         self.write(number, head + body)
         self._pay_credit(number, state)
 
-    def _foreign_to(self, start):
-        """Return a function that tells replies to other requests."""
+    def _origin_for(self, start, state):
+        """Return a function that tells the ``Origin`` of a reply from its head."""
         if not start.reply_id or self.reply_id_of is None:
             return None
 
-        def is_foreign(head):
+        def origin_of(head):
             found = self.reply_id_of(head)
-            return bool(found) and found != start.reply_id
+            if found:
+                return Origin.OWN if found == start.reply_id else Origin.OTHER
+            return Origin.UNKNOWN if state.used else Origin.OWN
 
-        return is_foreign
+        return origin_of
 
     def continue_request(self, more):
         """Write more body bytes."""
@@ -227,6 +249,7 @@
         try:
             events = self._parse(state, event.data)
         except HttpError as error:
+            note(self.channel, "reply refused", server=state.place, reason=str(error))
             self._fail(event.connection, state, str(error))
             return
         self._report(event.connection, state, events)
@@ -276,6 +299,8 @@
             state.reply_started = True
             state.keep_alive = head.keep_alive
             state.idle_limit_s = idle_limit(head.head)
+            if state.reply_id and head.head.status >= FIRST_ERROR_STATUS:
+                state.failed_ids = (*state.failed_ids, state.reply_id)
             reply = ReplyStart(state.exchange, head.head, body, state.reply_ended)
             self.tell(self.consumer, reply)
         elif body or state.reply_ended:
@@ -308,8 +333,10 @@
         state.exchange = None
         state.last_used = self.clock()
         state.uncredited_bytes = 0
+        state.used = True
         pool = self.idle[state.place]
         usable = state.keep_alive and complete and not state.parser.dirty
+        usable = usable and len(state.failed_ids) < MAX_FAILED_IDS
         if not usable or len(pool) >= MAX_IDLE_CONNECTIONS:
             self.abort(number)
             return
--- a/comfreyusher/http/_parse.py
+++ b/comfreyusher/http/_parse.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 import httptools
 
@@ -37,6 +38,17 @@
     """The message is complete."""
 
 
+class Origin(enum.Enum):
+    """Whether a reply belongs to the request that was sent last.
+
+    UNKNOWN replies name no request, and the connection carried several.
+    """
+
+    OWN = "own"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
 class RequestParser:
     """Collects the events of a caller's connection, pipelined ones too."""
 
@@ -154,14 +166,14 @@
         self.events = []
         self.expect_reply("GET")
 
-    def expect_reply(self, method, is_foreign=None):
+    def expect_reply(self, method, origin_of=None):
         """Prepare for the reply to a request with this method.
 
-        ``is_foreign`` tells from a head whether the reply belongs to an
-        earlier request; such replies are passed over.
+        ``origin_of`` tells the ``Origin`` of a final reply from its head. Replies
+        to other requests are passed over, unknown ones are a fault.
         """
         self.parser = httptools.HttpResponseParser(self)
-        self.is_foreign = is_foreign
+        self.origin_of = origin_of
         self.skipping = False
         self.dirty = False
         self.without_body = method in METHODS_WITHOUT_REPLY_BODY
@@ -181,6 +193,8 @@
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise HttpError(502, "the reply switches protocols") from error
+        except httptools.HttpParserCallbackError as error:
+            raise _cause_of(error) from error
         except httptools.HttpParserError as error:
             if not self.ended:
                 raise HttpError(502, f"malformed reply: {error}") from error
@@ -217,7 +231,7 @@
             return
         status = self.parser.get_status_code()
         head = AnswerHead(status, tuple(self.headers), self.reason.decode("latin-1"))
-        if status >= 200 and self.is_foreign is not None and self.is_foreign(head):
+        if status >= 200 and self._belongs_to_another(head):
             self.skipping = True
             return
         keep_alive = self.parser.should_keep_alive()
@@ -233,6 +247,12 @@
         framed = names & {b"content-length", b"transfer-encoding"}
         self.until_close = not framed
 
+    def _belongs_to_another(self, head):
+        origin = self.origin_of(head) if self.origin_of else Origin.OWN
+        if origin is Origin.UNKNOWN:
+            raise HttpError(502, "the reply names no request on a used connection")
+        return origin is Origin.OTHER
+
     def on_body(self, data):
         if not self.ended and not self.skipping:
             self.events.append(Body(data))
@@ -252,7 +272,7 @@
     cause = error.__context__
     if isinstance(cause, HttpError):
         return cause
-    return HttpError(400, "malformed request")
+    return HttpError(400, "malformed message")
 
 
 def _check_host(found, version):
--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from comfreyusher.http import HttpError, ReplyParser, RequestParser
+from comfreyusher.http import HttpError, Origin, ReplyParser, RequestParser
 from comfreyusher.http._parse import Body, End, Head
 from comfreyusher.http._write import end_to_end, write_request_head
 from comfreyusher.messages import RequestHead
@@ -190,10 +190,11 @@
     def parser(self):
         one = ReplyParser()
 
-        def is_foreign(head):
-            return dict(head.headers).get(b"X-Request-Id") != b"own"
+        def origin_of(head):
+            is_own = dict(head.headers).get(b"X-Request-Id") == b"own"
+            return Origin.OWN if is_own else Origin.OTHER
 
-        one.expect_reply("GET", is_foreign)
+        one.expect_reply("GET", origin_of)
         return one
 
     @given(st.lists(st.integers(1, 150), max_size=8))
