Give up replies that bring no answer, however many bytes they send

Cause: nothing bounded what a reply may send before its head is complete, in interim and foreign replies, or in a trailer, so it filled the VM's memory until the deadline; and a failure, or a success without its seal, that is too large to be held was neither passed on nor ended: reading stopped at 256 kB and the caller waited for its deadline while the slot was taken. Class: input without a bound.

Now 256 kB without any progress of the reply end the exchange, and a failure larger than what is held (64 kB) ends its attempt at once: it is repeated where that is allowed, else told as unknown. A large sound answer is streamed as before, and ends with the route's timeout. A caller's own head and body had limits before (test_endless_head_is_refused_before_it_ends).

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -197,15 +197,23 @@
 def _stream_if_large(state, visit, attempt):
     if attempt.size_bytes < HOLD_ANSWER_BYTES or visit.streaming:
         return stopped(state, visit)
+    verdict = judge_reply(attempt.head)
+    if verdict is not Verdict.GOOD:
+        return _end_large_failure(state, visit, attempt, verdict)
     if visit.accounted and not visit.copied:
         return stopped(state, visit)
-    if judge_reply(attempt.head) is not Verdict.GOOD:
-        return stopped(state, visit)
     step = begin_stream(state, visit, attempt)
     cancels = _cancel_others(step.state, step.item, attempt)
     return stopped(step.state, cancels.item, *step.messages, *cancels.messages)
 
 
+def _end_large_failure(state, visit, attempt, verdict):
+    """End an attempt whose failure is too large to be held, and may have no end."""
+    cancel = Address(UPSTREAMS, SendCancel(attempt.key))
+    step = end_attempt(state, visit, attempt, verdict)
+    return stopped(step.state, step.item, cancel, *step.messages)
+
+
 def judge_reply(head):
     """Return the verdict on a reply, from its head."""
     facts = read_reply(head)
--- a/comfreyusher/http/_parse.py
+++ b/comfreyusher/http/_parse.py
@@ -15,6 +15,7 @@
 
 METHODS_WITHOUT_REPLY_BODY = ("HEAD",)
 STATUSES_WITHOUT_BODY = (204, 304)
+MAX_FRUITLESS_BYTES = 1 << 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,7 +160,8 @@
     """Parses the replies of one upstream connection, one request at a time.
 
     ``dirty`` is set once bytes followed a complete reply: they belong to no
-    request, and the connection must not be used again.
+    request, and the connection must not be used again. ``fruitless_bytes`` came
+    since the reply last made progress.
     """
 
     def __init__(self):
@@ -182,13 +184,12 @@
         self.in_head = True
         self.ended = False
         self.until_close = False
-        self.seen = False
+        self.fruitless_bytes = 0
 
     def feed(self, data):
         """Return the events found; raise ``HttpError`` for a malformed reply."""
         if self.ended:
             raise HttpError(502, "bytes after the end of a reply")
-        self.seen = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -199,7 +200,18 @@
             if not self.ended:
                 raise HttpError(502, f"malformed reply: {error}") from error
             self.dirty = True
-        return self._take()
+        events = self._take()
+        self._limit_fruitless(data, events)
+        return events
+
+    def _limit_fruitless(self, data, events):
+        """Refuse heads, interim and foreign replies, and trailers without an end."""
+        if self.ended or (events and not self.in_head):
+            self.fruitless_bytes = 0
+            return
+        self.fruitless_bytes += len(data)
+        if self.fruitless_bytes > MAX_FRUITLESS_BYTES:
+            raise HttpError(502, f"no part of a reply in {MAX_FRUITLESS_BYTES} bytes")
 
     def feed_end(self):
         """Return the last events when the server closed its side."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -246,6 +246,18 @@
         self.assertEqual(len(self.take(AnswerBroken)), 1)
 
 
+    # Guards against waiting until the deadline for a failure that has no end.
+    def test_a_failure_without_an_end_is_repeated_at_once(self):
+        self.arrive()
+        key = self.grant()
+        self.say(ReplyStart(key, FAULT, b"x" * 40000, False))
+        self.assertEqual(self.take(SendCancel), [])
+        self.say(ReplyBody(key, b"x" * 40000, False))
+        self.assertEqual(self.take(SendCancel)[0].exchange, key)
+        self.assertEqual(self.take(Ask)[-1].tried, ("u1",))
+        self.assertEqual(self.take(Report)[-1].verdict, Verdict.FAULT)
+
+
 class OnceTests(EntryCase):
     ROUTE = Route(
         "/a/",
@@ -274,6 +286,14 @@
         self.assertEqual(self.answers()[0].head.status, 500)
         self.assertEqual(len(self.take(SendStart)), 1)
 
+    # Guards against repeating, or calling not run, what failed without an end.
+    def test_a_failure_without_an_end_is_told_as_unknown(self):
+        self.arrive()
+        key = self.grant()
+        self.say(ReplyStart(key, FAULT, b"x" * 70000, False))
+        self.assertEqual(self.outcome(), (502, "unknown"))
+        self.assertEqual(len(self.take(SendCancel)), 1)
+
     def test_what_an_upstream_refused_goes_to_another_one(self):
         for head in (SHED, OTHER_INSTANCE):
             with self.subTest(head.status):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -19,6 +19,7 @@
 
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok"
+MAX_BYTES = 4 << 20
 
 
 def name_of(request_id):
@@ -163,5 +164,52 @@
         self.assertTrue(told[0].sent)
 
 
+class EndlessReplyTests(ClientCase):
+    """Bytes that are no answer come until this side closes."""
+
+    def receive_endlessly(self, first, more):
+        """Return the number of bytes that were read before the close."""
+        number = self.send("r1")
+        if first:
+            self.receive(number, first)
+        count = 0
+        while number in self.client.states and count < MAX_BYTES:
+            self.receive(number, more)
+            count += len(more)
+        return count
+
+    # Guards against heads that fill a VM's memory until the deadline.
+    def test_an_endless_head_is_cut(self):
+        starts = {
+            b"HTTP/1.1 200 ": b"a" * 4096,
+            b"HTTP/1.1 200 OK\r\nX: ": b"a" * 4096,
+            b"HTTP/1.1 200 OK\r\n": b"A: b\r\n" * 512,
+        }
+        for first, more in starts.items():
+            with self.subTest(first=first):
+                self.setUp()
+                self.assertLess(self.receive_endlessly(first, more), MAX_BYTES)
+                told = self.take(ReplyStart, SendFailed)
+                self.assertEqual([type(one) for one in told], [SendFailed])
+
+    # Guards against interim and foreign replies that go on for ever.
+    def test_replies_that_are_no_answer_are_cut(self):
+        foreign = ANSWER % name_of(b"old")
+        for more in (b"HTTP/1.1 103 Hints\r\n\r\n" * 100, foreign * 50):
+            with self.subTest(more=more[:20]):
+                self.setUp()
+                self.assertLess(self.receive_endlessly(b"", more), MAX_BYTES)
+
+    # Guards against a body whose trailer goes on for ever.
+    def test_an_endless_trailer_is_cut(self):
+        first = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: "
+        self.assertLess(self.receive_endlessly(first, b"a" * 4096), MAX_BYTES)
+
+    # Guards against cutting a large answer that does arrive.
+    def test_a_large_body_is_not_cut(self):
+        first = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (8 << 20)
+        self.assertGreaterEqual(self.receive_endlessly(first, b"a" * 65536), MAX_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
