Pass a large answer on once its account entry is copied

A caller with an account waited until its deadline for an answer that had begun. Cause: an answer above 64 kB that came before its account entry was copied was looked at again only with its next bytes, and reading stops at 256 kB, so none came. Class: a wait that nothing ends. Test, failed before: test_a_large_answer_begins_once_its_account_entry_is_copied

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -3,6 +3,7 @@
 from comfreyusher.entry._answer import (
     UpstreamAnswer,
     begin_stream,
+    confirm_copy,
     continue_stream,
     deliver,
 )
@@ -207,6 +208,15 @@
     return stopped(step.state, cancels.item, *step.messages, *cancels.messages)
 
 
+def release_held(state, visit, confirmed):
+    """Release what waited for the copy: a whole answer, or the start of a large one."""
+    step = confirm_copy(state, visit, confirmed)
+    for attempt in live_attempts(step.item):
+        if attempt.size_bytes >= HOLD_ANSWER_BYTES:
+            return _stream_if_large(step.state, step.item, attempt)
+    return step
+
+
 def _end_large_failure(state, visit, attempt, verdict):
     """End an attempt whose failure is too large to be held, and may have no end."""
     cancel = Address(UPSTREAMS, SendCancel(attempt.key))
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -7,12 +7,12 @@
 import uuid6
 
 from comfreyusher.accounts import CopyConfirmed
-from comfreyusher.entry._answer import confirm_copy
 from comfreyusher.entry._arrive import ARRIVAL
 from comfreyusher.entry._ask import ask_again, live_attempts
 from comfreyusher.entry._attempts import (
     cancel_all,
     pass_interim,
+    release_held,
     take_denial,
     take_failure,
     take_grant,
@@ -183,7 +183,7 @@
         """Release an answer whose account entry is copied."""
         visit = self.visits.get(confirmed.exchange)
         if visit is not None:
-            self.run(confirm_copy, visit, confirmed)
+            self.run(release_held, visit, confirmed)
 
     def forget(self, ended):
         """Drop a visit that has ended, and log its outcome."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,9 +4,10 @@
 
 import immutables
 
+from comfreyusher.accounts import CopyConfirmed
 from comfreyusher.declarations import Part, Published, Route
 from comfreyusher.entry import EntryTask, GroupPlace, Situation, new_entry_state
-from comfreyusher.flow import Tick
+from comfreyusher.flow import Tick, change
 from comfreyusher.membership import Ownership, update_view
 from comfreyusher.messages import (
     AnswerBody,
@@ -245,6 +246,18 @@
         self.say(SendFailed(key, True, True, "reset"))
         self.assertEqual(len(self.take(AnswerBroken)), 1)
 
+    # Guards against a large answer that nobody reads on once its copy is confirmed.
+    def test_a_large_answer_begins_once_its_account_entry_is_copied(self):
+        self.arrive()
+        self.task.visits[1] = change(self.task.visits[1], accounted=True)
+        key = self.grant()
+        self.say(ReplyStart(key, OK, b"x" * 70000, False))
+        self.assertEqual(self.answers(), [])
+        self.say(CopyConfirmed(1, True))
+        (start,) = self.answers()
+        self.assertEqual((start.ended, len(start.body)), (False, 70000))
+        self.say(ReplyBody(key, b"end", True))
+        self.assertTrue(self.take(AnswerBody)[-1].ended)
 
     # Guards against waiting until the deadline for a failure that has no end.
     def test_a_failure_without_an_end_is_repeated_at_once(self):
