Cut a streamed answer that has no end after its deadline

Cause: requests whose answer streams were left out of the watch on deadlines. Class: a wait that nothing ends. An upstream gets the time that is left and stops at it; 0.4 s remain for what is on its way. The connection to the caller breaks, so that the cut does not look whole. Test, failed before: test_a_streamed_answer_without_an_end_is_cut_...

--- a/comfreyusher/entry/_overdue.py
+++ b/comfreyusher/entry/_overdue.py
@@ -15,6 +15,7 @@
 HEDGE_FACTOR = 2.5
 MIN_HEDGE_S = 0.25
 ANSWER_GRACE_S = 0.1
+STREAM_GRACE_S = 0.4
 
 
 def end_overdue(state, visit):
@@ -36,11 +37,16 @@
 
     An upstream stops at the deadline by itself; its answer is waited for.
     """
-    if visit.streaming or visit.answers or not visit.deadline_s:
+    if visit.answers or not visit.deadline_s:
         return False
+    return now > visit.deadline_s + _grace_s(visit)
+
+
+def _grace_s(visit):
+    if visit.streaming:
+        return STREAM_GRACE_S
     waits_for_upstream = any(a.phase is Phase.SENT for a in visit.attempts)
-    grace_s = ANSWER_GRACE_S if waits_for_upstream else 0.0
-    return now > visit.deadline_s + grace_s
+    return ANSWER_GRACE_S if waits_for_upstream else 0.0
 
 
 def is_hedge_due(state, visit):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -259,6 +259,18 @@
         self.say(ReplyBody(key, b"end", True))
         self.assertTrue(self.take(AnswerBody)[-1].ended)
 
+    # Guards against answers that are passed on for ever.
+    def test_a_streamed_answer_without_an_end_is_cut_after_its_deadline(self):
+        self.arrive(deadline=b"2000")
+        key = self.grant()
+        self.say(ReplyStart(key, OK, b"x" * 70000, False))
+        self.pass_time(1.9)
+        self.say(ReplyBody(key, b"more", False))
+        self.assertEqual(self.take(AnswerBroken), [])
+        self.pass_time(0.6)
+        self.assertEqual(len(self.take(AnswerBroken)), 1)
+        self.assertEqual(self.take(SendCancel)[0].exchange, key)
+
     # Guards against waiting until the deadline for a failure that has no end.
     def test_a_failure_without_an_end_is_repeated_at_once(self):
         self.arrive()
