Use an upstream again whose entry lapsed while it had work

Cause: the owner marks an upstream as leaving when its entry is gone and work runs on it. When the entry came back, with the same start, the mark stayed for as long as this node owned the group. Class: a state that is entered by one sign and not left when that sign ends.

Tests: test_an_upstream_whose_entry_lapsed_during_work_is_used_again, failed before; test_an_upstream_that_said_it_leaves_stays_out_while_it_is_listed.

--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -6,7 +6,14 @@
 
 from comfreyusher.declarations import Profile
 from comfreyusher.flow import change
-from comfreyusher.health import Health, Odds, Standing, new_health, new_odds
+from comfreyusher.health import (
+    Health,
+    Odds,
+    Standing,
+    new_health,
+    new_odds,
+    return_to_service,
+)
 from comfreyusher.messages import Ask, WorkClass
 from comfreyusher.owner._arrivals import Arrivals
 from comfreyusher.owner._budget import new_budget
@@ -52,7 +59,8 @@
     """An upstream and the work on it.
 
     ``shed_limit`` is lowered when the upstream sheds and recovers with time.
-    ``joined`` tells that it came while this node owned the group. ``pace`` is
+    ``joined`` tells that it came while this node owned the group, ``lapsed`` that
+    it is out only because its entry is gone. ``pace`` is
     how much longer than usual its work takes. ``last_bad_s`` is when it failed
     last, ``last_stall_s`` when work on it took far longer than
     usual, ``unreached`` holds ``Unreached`` by entry node.
@@ -70,6 +78,7 @@
     in_flight: int = 0
     long_in_flight: int = 0
     joined: bool = False
+    lapsed: bool = False
     last_grant_s: float = NEVER_S
     last_bad_s: float = NEVER_S
     last_stall_s: float = NEVER_S
@@ -171,20 +180,24 @@
     for name, upstream in upstreams.items():
         if name not in listed and not upstream.in_flight:
             upstreams = upstreams.delete(name)
-        elif name not in listed:
-            upstreams = upstreams.set(name, set_standing(upstream, Standing.LEAVING))
+        elif name not in listed and upstream.health.standing is not Standing.LEAVING:
+            lapsed = change(set_standing(upstream, Standing.LEAVING), lapsed=True)
+            upstreams = upstreams.set(name, lapsed)
     for name, member in listed.items():
         known = upstreams.get(name)
         if known is None or known.born_ms != member.born_ms:
             known = _new_upstream(plan, member, now, first)
         elif member.leaving:
             known = set_standing(known, Standing.LEAVING)
+        elif known.lapsed:
+            known = change(known, health=return_to_service(known.health, now))
         known = change(
             known,
             host=member.host,
             port=member.port,
             slots=member.slots,
             warm_s=member.warm_s,
+            lapsed=False,
         )
         upstreams = upstreams.set(name, known)
     return change(group, plan=plan, upstreams=upstreams)
--- a/tests/test_owner_properties.py
+++ b/tests/test_owner_properties.py
@@ -382,6 +382,25 @@
         self.send(PlanChanged(change(plan(), members=members)))
         self.assertLess(self.model.group.upstreams["u1"].odds.failing, before)
 
+    # Guards against sound upstreams that stay unused after their entry lapsed.
+    def test_an_upstream_whose_entry_lapsed_during_work_is_used_again(self):
+        self.send(*(ask(number) for number in range(1, 9)))
+        running = [g.upstream for g in self.model.granted.values()]
+        self.assertIn("u1", running)
+        self.send(PlanChanged(plan(names=UPSTREAMS[1:])))
+        standing = self.model.group.upstreams["u1"].health.standing
+        self.assertIs(standing, Standing.LEAVING)
+        self.send(PlanChanged(plan()))
+        upstream = self.model.group.upstreams["u1"]
+        self.assertIs(upstream.health.standing, Standing.HEALTHY)
+        self.assertEqual(upstream.in_flight, running.count("u1"))
+
+    # Guards against an older list that brings a leaving upstream back to work.
+    def test_an_upstream_that_said_it_leaves_stays_out_while_it_is_listed(self):
+        self.send(PlanChanged(plan(leaving=("u1",))), PlanChanged(plan()))
+        standing = self.model.group.upstreams["u1"].health.standing
+        self.assertIs(standing, Standing.LEAVING)
+
     def test_a_new_owner_earns_its_slack_over_a_window(self):
         many = change(plan(), budget_slack=20)
         self.model.group = new_group(many, self.model.now, first_slack=0)
