Tell other nodes of a removal while it is still held back

Cause: entries that vanish while the store is away are taken as gone only 2.2 s after its return. Only the node that had read the removal held it back; its mark moved past it with nothing told, and the other nodes followed the mark. When the time came, that node told it only if it was still a reader; at the end of an outage readers change several times a second. Evidence: tests/faulty_region.py, new here: the real feed tasks of 12 nodes on simulated time under drawn faults. Ruled out: lost datagrams (nothing was sent), an older list (the position was newer than the removal).

The repeated telling at the end is gone.

--- a/comfreyusher/feeds/_knowledge.py
+++ b/comfreyusher/feeds/_knowledge.py
@@ -15,7 +15,6 @@
     apply_configuration,
     apply_newest,
     apply_upstreams,
-    apply_whole,
 )
 from comfreyusher.feeds._topic import keep_newest
 from comfreyusher.platform import DocumentRefused, Record, Topic
@@ -40,19 +39,16 @@
     # Upstreams -----------------------------------------------------------------
 
     def read_upstreams(self, records, whole, departs_s, source):
-        """Take records of upstreams; return the entries that changed."""
+        """Take records of upstreams; return what other nodes have to hear."""
         decide = apply_newest if whole else apply_upstreams
         applied = decide(self.listing, records, departs_s)
         for fault in applied.faults:
             warn(PART, "entry refused", reason=fault)
-        return self.take_listing(applied, source)
-
-    def take_whole_listing(self, entries, source):
-        """Take all entries that another node knows."""
-        return self.take_listing(apply_whole(self.listing, entries), source)
+        self.take_listing(applied, source)
+        return applied.news
 
     def take_listing(self, applied, source):
-        """Take a listing; return the entries that changed."""
+        """Take a listing, and tell the node what counts now."""
         before = self.listing
         self.listing = applied.listing
         if applied.changed:
@@ -60,7 +56,6 @@
                 log_entry(before, entry, source)
             told = UpstreamsChanged(self.listing.upstreams, applied.changed)
             self.tell("node", told)
-        return applied.changed
 
     # Records -------------------------------------------------------------------
 
--- a/comfreyusher/feeds/_marks.py
+++ b/comfreyusher/feeds/_marks.py
@@ -5,7 +5,6 @@
 from comfreyusher.flow import change
 from comfreyusher.messages import (
     FeedChange,
-    SnapshotGiven,
     TopicMark,
 )
 
@@ -50,9 +49,3 @@
         for topic, state in topics.items()
         if state.position.known
     )
-
-
-def snapshot_of(mark, packed, listing):
-    """Return all that is known of a topic; ``listing`` is for upstreams only."""
-    upstreams = tuple(listing.upstreams.values()) if listing is not None else ()
-    return SnapshotGiven(mark, packed, upstreams)
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 
 import immutables
 
@@ -50,12 +51,28 @@
     departures: immutables.Map = immutables.Map()
 
 
+class Effect(enum.Enum):
+    """What an entry did to the listing.
+
+    LATER entries change nothing yet: a removal that will count, or its end.
+    """
+
+    NONE = "none"
+    LATER = "later"
+    NOW = "now"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Applied:
-    """Result of applying records: the listing, what changed, what is wrong."""
+    """Result of applying records.
+
+    ``changed`` are entries that count now, ``news`` these and the later ones: all
+    that other nodes have to hear. ``faults`` tell what is wrong with records.
+    """
 
     listing: Listing
     changed: tuple = ()
+    news: tuple = ()
     faults: tuple = ()
 
 
@@ -65,83 +82,130 @@
     ``departs_s`` is when a removal counts. An entry that cannot be read names
     no upstream.
     """
-    changed, faults = [], []
+    entries, faults = [], []
     for record in records:
         try:
             entry = decode_upstream(record)
         except DocumentRefused as error:
             faults.append(str(error))
             entry = ListedUpstream(record.key, gone=True)
-        listing, differs = _apply_entry(listing, entry, departs_s)
-        if differs:
-            changed.append(entry)
-    return Applied(listing, tuple(changed), tuple(faults))
+        entries.append(entry)
+    applied = _apply_entries(listing, entries, lambda entry: departs_s)
+    return change(applied, faults=tuple(faults))
 
 
 def apply_newest(listing, records, departs_s):
     """Return the ``Applied`` newest records of the whole topic."""
     names = {record.key for record in records}
-    applied = apply_upstreams(listing, records, departs_s)
-    listing, changed = applied.listing, applied.changed
-    for name in listing.upstreams:
-        if name not in names:
-            missing = ListedUpstream(name, gone=True)
-            listing, differs = _apply_entry(listing, missing, departs_s)
-            changed += (missing,) if differs else ()
-    return Applied(listing, changed, applied.faults)
+    part = apply_upstreams(listing, records, departs_s)
+    missing = _missing(part.listing, names)
+    whole = _apply_entries(part.listing, missing, lambda entry: departs_s)
+    return Applied(
+        whole.listing,
+        part.changed + whole.changed,
+        part.news + whole.news,
+        part.faults,
+    )
 
 
-def apply_changes(listing, entries):
+def apply_changes(listing, entries, now):
     """Return the ``Applied`` entries that another node has read."""
-    changed = []
-    for entry in entries:
-        listing, differs = _apply_entry(listing, entry, NEVER_S)
-        if differs:
-            changed.append(entry)
-    return Applied(listing, tuple(changed))
 
+    def departs_s(entry):
+        return now + entry.departs_ms / 1000 if entry.departs_ms else NEVER_S
+
+    return _apply_entries(listing, entries, departs_s)
 
-def apply_whole(listing, entries):
+
+def apply_whole(listing, entries, now):
     """Return the ``Applied`` entries that are all that another node knows."""
     names = {entry.name for entry in entries}
-    missing = tuple(
+    return apply_changes(listing, (*entries, *_missing(listing, names)), now)
+
+
+def entries_of(listing, now):
+    """Return the entries that tell another node all of a listing."""
+    departing = add_departures(
+        listing, (ListedUpstream(name, gone=True) for name in listing.departures), now
+    )
+    return (*listing.upstreams.values(), *departing)
+
+
+def add_departures(listing, entries, now):
+    """Return the entries, removals with the time after which they count."""
+    return tuple(
+        change(entry, departs_ms=_departs_ms(listing, entry, now))
+        if entry.gone
+        else entry
+        for entry in entries
+    )
+
+
+def _departs_ms(listing, entry, now):
+    departure = listing.departures.get(entry.name)
+    return max(1, int((departure.due_s - now) * 1000)) if departure else 0
+
+
+def release_departures(listing, now):
+    """Return the ``Applied`` removals that are due."""
+    due = [
+        ListedUpstream(name, gone=True)
+        for name, departure in listing.departures.items()
+        if departure.due_s <= now
+    ]
+    return _apply_entries(listing, due, lambda entry: NEVER_S)
+
+
+def _missing(listing, names):
+    return tuple(
         ListedUpstream(name, gone=True)
         for name in listing.upstreams
         if name not in names
     )
-    return apply_changes(listing, (*entries, *missing))
 
 
-def release_departures(listing, now):
-    """Return the ``Applied`` removals that are due."""
-    changed = []
-    for name, departure in listing.departures.items():
-        if departure.due_s <= now:
-            gone = ListedUpstream(name, gone=True)
-            listing, differs = _apply_entry(listing, gone, NEVER_S)
-            changed += [gone] if differs else []
-    return Applied(listing, tuple(changed))
+def _apply_entries(listing, entries, departs_s_of):
+    """Return the ``Applied`` entries; the function tells when a removal counts."""
+    changed, news = [], []
+    for entry in entries:
+        listing, effect = _apply_entry(listing, entry, departs_s_of(entry))
+        if effect is Effect.NOW:
+            changed.append(entry)
+        if effect is not Effect.NONE:
+            news.append(entry)
+    return Applied(listing, tuple(changed), tuple(news))
 
 
 def _apply_entry(listing, entry, departs_s):
-    """Return the listing after one entry, and whether that changed it now."""
-    known = listing.upstreams.get(entry.name)
+    """Return the listing after one entry, and the ``Effect`` of that."""
+    if not entry.gone:
+        return _list_entry(listing, entry)
+    if entry.name not in listing.upstreams:
+        return listing, Effect.NONE
     departures = listing.departures
-    if entry.gone and known is None:
-        return listing, False
-    if entry.gone and departs_s > NEVER_S:
-        if entry.name not in departures:
-            departure = Departure(entry.name, departs_s)
-            listing = change(listing, departures=departures.set(entry.name, departure))
-        return listing, False
-    if entry.name in departures:
-        listing = change(listing, departures=departures.delete(entry.name))
-    if entry.gone:
+    if departs_s <= NEVER_S:
         upstreams = listing.upstreams.delete(entry.name)
-        return change(listing, upstreams=upstreams), True
+        if entry.name in departures:
+            departures = departures.delete(entry.name)
+        return Listing(upstreams, departures), Effect.NOW
+    if entry.name in departures:
+        return listing, Effect.NONE
+    departure = Departure(entry.name, departs_s)
+    departures = departures.set(entry.name, departure)
+    return change(listing, departures=departures), Effect.LATER
+
+
+def _list_entry(listing, entry):
+    effect = Effect.NONE
+    if entry.name in listing.departures:
+        departures = listing.departures.delete(entry.name)
+        listing = change(listing, departures=departures)
+        effect = Effect.LATER
+    known = listing.upstreams.get(entry.name)
     if known is not None and is_same(known, entry):
-        return listing, False
-    return change(listing, upstreams=listing.upstreams.set(entry.name, entry)), True
+        return listing, effect
+    upstreams = listing.upstreams.set(entry.name, entry)
+    return change(listing, upstreams=upstreams), Effect.NOW
 
 
 def is_same(known, entry):
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -11,7 +11,6 @@
     marks_of,
     one_less,
     pages_of,
-    snapshot_of,
 )
 from comfreyusher.feeds._messages import (
     DeclarationsRead,
@@ -24,7 +23,10 @@
 from comfreyusher.feeds._relay import first_read_s, parent_of, store_after_s
 from comfreyusher.feeds._state import (
     Position,
+    add_departures,
     apply_changes,
+    apply_whole,
+    entries_of,
     release_departures,
 )
 from comfreyusher.feeds._topic import Asker, TopicState
@@ -221,15 +223,16 @@
             waited_ms = self._waited_ms(read.topic)
             return self.known.take_records(read.topic, read, whole, source, waited_ms)
         departs_s = self.outage.departs_s(self.clock(), self._last_confirmed_s())
-        changed = self.known.read_upstreams(read.records, whole, departs_s, source)
-        self._spread(changed, end)
-        return bool(changed)
+        news = self.known.read_upstreams(read.records, whole, departs_s, source)
+        self._spread(news, end)
+        return bool(news)
 
-    def _spread(self, changed, end):
+    def _spread(self, news, end):
         """Tell the region of entries that this reader read up to an offset."""
-        if changed and self.reading:
+        if news and self.reading:
             base = self.topics[Topic.UPSTREAMS].position.changed
-            self.repeats.append(Repeat(base, end, changed))
+            entries = add_departures(self.known.listing, news, self.clock())
+            self.repeats.append(Repeat(base, end, entries))
 
     def _waited_ms(self, topic):
         """Return for how many milliseconds newer records were known of."""
@@ -331,10 +334,9 @@
         position = state.position
         if not position.known or position.end < heard.base:
             return
-        held_back = heard.base == heard.changed
-        if heard.changed <= position.end and not held_back:
+        if heard.changed <= position.end:
             return
-        applied = apply_changes(self.known.listing, heard.upstreams)
+        applied = apply_changes(self.known.listing, heard.upstreams, self.clock())
         self.known.take_listing(applied, heard.node)
         if not state.has_all_pages(heard):
             return
@@ -384,11 +386,12 @@
             self._give(topic, asker)
 
     def _give(self, topic, asker):
-        given = snapshot_of(
-            mark_of(topic, self.topics[topic].position, self.clock()),
-            self.known.pack(topic),
-            self.known.listing if topic is Topic.UPSTREAMS else None,
-        )
+        now = self.clock()
+        mark = mark_of(topic, self.topics[topic].position, now)
+        upstreams = ()
+        if topic is Topic.UPSTREAMS:
+            upstreams = entries_of(self.known.listing, now)
+        given = SnapshotGiven(mark, self.known.pack(topic), upstreams)
         self.tell("peers", ToNode(asker, given))
 
     def take_snapshot(self, given):
@@ -410,7 +413,8 @@
         )
         note(PART, "snapshot taken", topic=topic.value, age_ms=mark.age_ms)
         if topic is Topic.UPSTREAMS:
-            self.known.take_whole_listing(given.upstreams, PEER)
+            applied = apply_whole(self.known.listing, given.upstreams, now)
+            self.known.take_listing(applied, PEER)
             self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         else:
             read = NewestRead(topic, mark.end, records)
@@ -426,8 +430,7 @@
         """Read what is due, become a reader when nobody else is, tell others."""
         now = tick.now_s
         due = release_departures(self.known.listing, now)
-        gone = self.known.take_listing(due, STORE)
-        self._spread(gone, self.topics[Topic.UPSTREAMS].position.changed)
+        self.known.take_listing(due, STORE)
         self._ask_for_missing(now)
         stale_s = now - self._last_confirmed_s()
         if not self.reading and stale_s > self.pace.stale_s(self.rank):
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -7,8 +7,9 @@
 class ListedUpstream:
     """An upstream as it registered itself.
 
-    ``gone`` marks the removal of its entry. ``warm_ms`` is how much longer it
-    is slow after its start, ``born_ms`` the Unix time of that start.
+    ``gone`` marks the removal of its entry, which counts in ``departs_ms``.
+    ``warm_ms`` is how much longer it is slow after its start, ``born_ms`` the
+    Unix time of that start.
     """
 
     name: str
@@ -21,6 +22,7 @@
     warm_ms: int = 0
     born_ms: int = 0
     gone: bool = False
+    departs_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,9 +82,8 @@
 class FeedChange:
     """Changes of upstreams between the positions ``base`` and ``changed``.
 
-    They fit a node whose own position is at ``base`` or later. Removals that were
-    held back have the same two positions. A change that is too large for one
-    datagram comes in ``pages``, numbered from 0.
+    They fit a node whose own position is at ``base`` or later. A change that is
+    too large for one datagram comes in ``pages``, numbered from 0.
     """
 
     node: str
--- /dev/null
+++ b/tests/faulty_region.py
@@ -0,0 +1,499 @@
+"""The feeds of one region on simulated time, while nodes and the store fail.
+
+Every node runs its real ``FeedTask``. ``play`` draws faults from a seed: nodes that
+are killed, frozen, or cut off from the store or from each other, datagrams that
+are lost, a store that is silent, refuses, or answers with old records and
+forgets its history. ``python -m tests.faulty_region --seeds 200`` plays many.
+"""
+
+import argparse
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+
+from absl import logging
+
+from comfreyusher.feeds import FeedTask, Pace, PublishedChanged, RegionSeen
+from comfreyusher.flow import Tick
+from comfreyusher.messages import MemberRecord, ToNode
+from comfreyusher.platform import (
+    Follow,
+    Followed,
+    NewestRead,
+    ReadFailed,
+    Record,
+    Topic,
+)
+
+TICK_S = 0.25
+HEARTBEAT_S = 1.5
+KEPT_S = 20.0
+CALL_TIMEOUT_S = 1.5
+STORE_S = 0.02
+NEAR_S = 0.002
+LOSS = 0.003
+VIEW_S = 1.5
+APPLY_S = 3.0
+DRAIN_S = 3.0
+TOUCH_S = 4.0
+SENDING_S = 0.1
+CALM_FROM_S = 8.0
+LENGTH_S = 45.0
+FAULT_KINDS = (
+    "kill",
+    "freeze",
+    "cut_store",
+    "cut_store_back",
+    "refuse",
+    "cut_nodes",
+    "cut_one_way",
+    "lossy",
+    "store_silent",
+    "store_refuses",
+    "store_old",
+    "store_forgets",
+)
+STORE_KINDS = frozenset(("store_silent", "store_refuses", "store_old"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault of some nodes, or of the store, between two times in seconds."""
+
+    kind: str
+    begin_s: float
+    end_s: float
+    nodes: frozenset = frozenset()
+    strength: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """Something that a node did not know in time."""
+
+    at_s: float
+    node: str
+    what: str
+
+
+def draw_faults(chance, names):
+    """Return the faults of a run."""
+    faults = []
+    for _ in range(chance.randint(2, 7)):
+        kind = chance.choice(FAULT_KINDS)
+        begin_s = chance.uniform(CALM_FROM_S, LENGTH_S - 12.0)
+        end_s = begin_s + chance.choice((0.3, 1.0, 2.5, 5.0, 8.0))
+        count = chance.randint(1, max(1, len(names) // 2))
+        nodes = frozenset(chance.sample(names, count))
+        faults.append(Fault(kind, begin_s, end_s, nodes, chance.uniform(0.05, 0.5)))
+    return faults
+
+
+class Log:
+    """The store's records of one topic, with their times; some are forgotten."""
+
+    def __init__(self):
+        self.records = []
+        self.times = []
+        self.first = 0
+
+    def append(self, key, value, now):
+        """Append a record."""
+        self.records.append(Record(key, value, len(self.records)))
+        self.times.append(now)
+
+    def end_at(self, at_s):
+        """Return the offset behind the records of a time."""
+        low, high = 0, len(self.times)
+        while low < high:
+            middle = (low + high) // 2
+            if self.times[middle] <= at_s:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+    def newest(self, end):
+        """Return the newest record of each key before an offset."""
+        found = {}
+        for record in self.records[:end]:
+            if record.value:
+                found[record.key] = record
+            else:
+                found.pop(record.key, None)
+        return tuple(found.values())
+
+
+class FaultyRegion:
+    """Nodes, the store, and what goes on between them."""
+
+    def __init__(self, nodes, upstreams, chance):
+        self.chance = chance
+        self.now = 0.0
+        self.events = []
+        self.numbers = itertools.count()
+        self.logs = {
+            topic: Log()
+            for topic in (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
+        }
+        self.vms = [f"vm-{number}" for number in range(nodes)]
+        self.incarnations = dict.fromkeys(self.vms, 0)
+        self.tasks = {}
+        self.versions = {}
+        self.troubled_s = {}
+        self.faults = []
+        self.acked = []
+        self.states = {f"up-{number}": "ready" for number in range(upstreams)}
+        self.left = {}
+        self.calls = 0
+        self.findings = []
+
+    # Time ------------------------------------------------------------------
+
+    def at(self, due_s, action):
+        """Do something at a time."""
+        heapq.heappush(self.events, (due_s, next(self.numbers), action))
+
+    def every(self, first_s, period_s, action):
+        """Do something again and again."""
+
+        def repeat(due_s):
+            action()
+            self.at(due_s + period_s, lambda: repeat(due_s + period_s))
+
+        self.at(first_s, lambda: repeat(first_s))
+
+    def run(self, until_s):
+        """Let time pass."""
+        while self.events and self.events[0][0] <= until_s:
+            due_s, _, action = heapq.heappop(self.events)
+            self.now = max(self.now, due_s)
+            action()
+        self.now = until_s
+
+    # Nodes -----------------------------------------------------------------
+
+    def start_node(self, vm):
+        """Start a process on a VM."""
+        self.incarnations[vm] += 1
+        node = f"{vm}.{self.incarnations[vm]}"
+        own = MemberRecord(node, vm, "h", 1, 1, self.place_of(vm), "r", 1)
+        task = FeedTask(own, Pace(DRAIN_S, APPLY_S), clock=lambda: self.now)
+        task.tell = lambda channel, body: self._send(node, channel, body)
+        self.tasks[node] = task
+        self.versions[node] = 0
+        self.troubled_s[vm] = self.now
+        task.prepare()
+        for other in list(self.tasks):
+            self.at(self.now + 0.2, lambda n=other: self.show_view(n))
+        phase_s = self.now + self.chance.uniform(0, TICK_S)
+        self.every(phase_s, TICK_S, lambda: self._tick(node))
+
+    def stop_node(self, vm):
+        """Kill the process of a VM; the others see it later."""
+        node = self.node_of(vm)
+        if node is None:
+            return
+        del self.tasks[node]
+        for other in list(self.tasks):
+            self.at(self.now + VIEW_S, lambda n=other: self.show_view(n))
+
+    def node_of(self, vm):
+        """Return the process of a VM, or ``None``."""
+        node = f"{vm}.{self.incarnations[vm]}"
+        return node if node in self.tasks else None
+
+    def place_of(self, vm):
+        """Return the data centre of a VM."""
+        return f"d{int(vm[3:]) % 2}"
+
+    def show_view(self, node):
+        """Tell a node who lives."""
+        task = self.tasks.get(node)
+        if task is None:
+            return
+        place = self.place_of(node.partition(".")[0])
+        near = [n for n in self.tasks if self.place_of(n.partition(".")[0]) == place]
+        task.see_region(RegionSeen(tuple(self.tasks), tuple(near)))
+
+    def _tick(self, node):
+        task = self.tasks.get(node)
+        if task is not None and not self._has(node, "freeze"):
+            task.on_tick(Tick("tick", self.now))
+
+    # Faults ----------------------------------------------------------------
+
+    def _has(self, node, *kinds):
+        vm = node.partition(".")[0]
+        return any(
+            fault.kind in kinds
+            and vm in fault.nodes
+            and fault.begin_s <= self.now < fault.end_s
+            for fault in self.faults
+        )
+
+    def _store_fault(self):
+        for fault in self.faults:
+            active = fault.begin_s <= self.now < fault.end_s
+            if active and fault.kind in STORE_KINDS:
+                return fault
+        return None
+
+    def begin_fault(self, fault):
+        """Begin what a fault does once; the rest is looked up while it lasts."""
+        if fault.kind == "kill":
+            for vm in sorted(fault.nodes):
+                self.stop_node(vm)
+                self.at(fault.end_s, lambda v=vm: self.start_node(v))
+        elif fault.kind == "store_forgets":
+            for log in self.logs.values():
+                log.first = len(log.records)
+
+    def is_in_touch(self, vm):
+        """Tell whether nothing harmed a VM for the stable window."""
+        if self.now - self.troubled_s.get(vm, self.now) < TOUCH_S:
+            return False
+        return not any(
+            vm in fault.nodes
+            and fault.kind not in STORE_KINDS
+            and fault.kind != "store_forgets"
+            and fault.begin_s <= self.now < fault.end_s + TOUCH_S
+            for fault in self.faults
+        )
+
+    def is_store_stable(self):
+        """Tell whether the store was without a fault for the stable window."""
+        return not any(
+            fault.kind in STORE_KINDS | {"store_forgets"}
+            and fault.begin_s <= self.now < fault.end_s + TOUCH_S
+            for fault in self.faults
+        )
+
+    # Messages --------------------------------------------------------------
+
+    def _send(self, node, channel, body):
+        if node not in self.tasks:
+            return
+        if isinstance(body, PublishedChanged):
+            self.note_version(node, body.published.version)
+        elif channel == "platform":
+            self._call(node, body)
+        elif isinstance(body, ToNode):
+            self._carry(node, channel, body)
+
+    def note_version(self, node, version):
+        """Note the version in force on a node; it never goes back."""
+        if version < self.versions[node]:
+            self.findings.append(Finding(self.now, node, f"back to {version}"))
+        self.versions[node] = version
+
+    def _carry(self, node, channel, addressed):
+        other = addressed.node
+        if channel == "datagrams" and self.chance.random() < self._loss(node, other):
+            return
+        due_s = self.now + NEAR_S + self.chance.uniform(0, 0.002)
+        self.at(due_s, lambda: self._deliver(node, other, addressed.body))
+
+    def _loss(self, node, other):
+        lossy = self._has(node, "lossy") or self._has(other, "lossy")
+        return 0.3 if lossy else LOSS
+
+    def _deliver(self, node, other, body):
+        task = self.tasks.get(other)
+        if task is None:
+            return
+        if self._has(node, "cut_nodes", "cut_one_way") or self._has(other, "cut_nodes"):
+            return
+        if self._has(other, "freeze"):
+            self.at(self.now + 0.05, lambda: self._deliver(node, other, body))
+            return
+        task.routes[type(body)](body)
+
+    # Store -----------------------------------------------------------------
+
+    def _call(self, node, call):
+        self.calls += 1
+        called_s = self.now
+        if self._has(node, "refuse"):
+            self._fail(node, call, called_s, STORE_S, "refused")
+            return
+        fault = self._store_fault()
+        silent = fault is not None and fault.kind == "store_silent"
+        if silent or self._has(node, "cut_store", "cut_store_back"):
+            self._fail(node, call, called_s, CALL_TIMEOUT_S, "no answer in time")
+            return
+        if fault is not None and fault.kind == "store_refuses":
+            self._fail(node, call, called_s, STORE_S, "refused")
+            return
+        self.at(self.now + STORE_S / 2, lambda: self._serve(node, call, called_s))
+
+    def _serve(self, node, call, called_s):
+        log = self.logs[call.topic]
+        fault = self._store_fault()
+        old_s = 3.0 if fault is not None and fault.kind == "store_old" else 0.0
+        end = log.end_at(self.now - old_s)
+        if not isinstance(call, Follow):
+            answer = NewestRead(call.topic, end, log.newest(end))
+            self._answer(node, call, called_s, answer)
+            return
+        first = max(log.first, log.end_at(self.now - KEPT_S))
+        if call.start < first:
+            self._answer(node, call, called_s, ReadFailed(call.topic, "expired", True))
+            return
+        waited_s = self.now - called_s
+        if end <= call.start and waited_s < call.wait_ms / 1000:
+            self.at(self.now + 0.02, lambda: self._serve(node, call, called_s))
+            return
+        records = tuple(log.records[call.start : end])
+        following = max(call.start, end)
+        answer = Followed(call.topic, call.start, following, end, records)
+        self._answer(node, call, called_s, answer)
+
+    def _fail(self, node, call, called_s, after_s, reason):
+        failed = ReadFailed(call.topic, reason)
+        self.at(self.now + after_s, lambda: self._end(node, called_s, failed))
+
+    def _answer(self, node, call, called_s, answer):
+        self.at(self.now + STORE_S / 2, lambda: self._end(node, called_s, answer))
+
+    def _end(self, node, called_s, answer):
+        task = self.tasks.get(node)
+        if task is None:
+            return
+        if self._has(node, "freeze"):
+            self.at(self.now + 0.05, lambda: self._end(node, called_s, answer))
+            return
+        if self._has(node, "cut_store", "cut_store_back"):
+            answer = ReadFailed(answer.topic, "no answer in time")
+        state = task.topics[answer.topic]
+        if state.calling and state.called_s == called_s:
+            task.routes[type(answer)](answer)
+
+    # Operator and upstreams ---------------------------------------------------
+
+    def publish(self, version):
+        """Append a configuration; the store confirms it at once."""
+        document = {"version": f"{version:08x}", "resources": []}
+        value = json.dumps(document).encode()
+        self.logs[Topic.CONFIGURATION].append("config", value, self.now)
+        self.acked.append((self.now, version))
+
+    def beat(self, name, seq=0):
+        """Append an upstream's entry."""
+        if self.left.get(name) == "gone":
+            return
+        value = {
+            "service": "s",
+            "address": "10.0.0.9:80",
+            "zone": "d0",
+            "version": "v1",
+            "slots": 4,
+            "state": self.states[name],
+            "born": 1,
+            "seq": seq,
+        }
+        log = self.logs[Topic.UPSTREAMS]
+        log.append(name, json.dumps(value).encode(), self.now)
+
+    def leave(self, name, quietly):
+        """Let an upstream say that it leaves, or end without a word."""
+        if quietly:
+            self.logs[Topic.UPSTREAMS].append(name, b"", self.now)
+            self.left[name] = "gone"
+        else:
+            self.states[name] = "draining"
+            self.beat(name)
+            self.at(self.now + 5.0, lambda: self.leave(name, quietly=True))
+        self.at(self.now + DRAIN_S - SENDING_S, lambda: self._check_left(name))
+
+    # Checks ------------------------------------------------------------------
+
+    def _check_left(self, name):
+        """Look from now on for nodes that would still use an upstream."""
+        for vm in self.vms:
+            node = self.node_of(vm)
+            if node is None or not self.is_in_touch(vm):
+                continue
+            if not self.is_store_stable():
+                continue
+            entry = self.tasks[node].known.listing.upstreams.get(name)
+            if entry is not None and not entry.leaving:
+                self.findings.append(Finding(self.now, node, f"lists {name}"))
+        if self.now < LENGTH_S:
+            self.at(self.now + 0.5, lambda: self._check_left(name))
+
+    def check_versions(self):
+        """Find nodes whose configuration is too old."""
+        if not self.is_store_stable():
+            return
+        due = [
+            version for acked_s, version in self.acked if self.now - acked_s > APPLY_S
+        ]
+        if not due:
+            return
+        for vm in self.vms:
+            node = self.node_of(vm)
+            if node is None or not self.is_in_touch(vm):
+                continue
+            known = self.versions[node]
+            if known < due[-1]:
+                what = f"has version {known}, not {due[-1]}"
+                self.findings.append(Finding(self.now, node, what))
+
+
+def play(seed, nodes=12, upstreams=12):
+    """Return the region after a run with the faults of a seed."""
+    chance = random.Random(seed)
+    region = FaultyRegion(nodes, upstreams, chance)
+    region.publish(1)
+    for name in region.states:
+        region.beat(name)
+        first_s = chance.uniform(0, HEARTBEAT_S)
+        region.every(first_s, HEARTBEAT_S, lambda n=name: region.beat(n))
+    for vm in region.vms:
+        region.at(chance.uniform(0, 0.3), lambda v=vm: region.start_node(v))
+    region.faults = draw_faults(chance, region.vms)
+    for fault in region.faults:
+        region.at(fault.begin_s, lambda f=fault: region.begin_fault(f))
+    _draw_changes(region, chance)
+    region.every(CALM_FROM_S, 0.25, region.check_versions)
+    region.run(LENGTH_S)
+    return region
+
+
+def _draw_changes(region, chance):
+    """Draw what operator and upstreams do."""
+    at_s, version = CALM_FROM_S, 1
+    while at_s < LENGTH_S - 6.0:
+        version += chance.randint(1, 3)
+        region.at(at_s, lambda v=version: region.publish(v))
+        at_s += chance.choice((0.3, 0.8, 3.0, 6.0))
+    leaving = chance.sample(sorted(region.states), len(region.states) * 2 // 3)
+    for name in leaving:
+        at_s = chance.uniform(CALM_FROM_S, LENGTH_S - 8.0)
+        quietly = chance.random() < 0.4
+        region.at(at_s, lambda n=name, q=quietly: region.leave(n, q))
+
+
+def main():
+    """Play many seeds, and print what each finds."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=100)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--nodes", type=int, default=12)
+    options = parser.parse_args()
+    logging.set_verbosity(logging.ERROR)
+    broken = 0
+    for seed in range(options.first, options.first + options.seeds):
+        region = play(seed, options.nodes)
+        if region.findings:
+            broken += 1
+            first = region.findings[0]
+            print(f"seed {seed}: {len(region.findings)} findings, first {first}")
+    print(f"{options.seeds} seeds, {broken} with findings")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -138,7 +138,7 @@
 
     def test_changes_of_a_reader_give_its_listing(self):
         read = apply_upstreams(Listing(), (entry("a"), entry("b")), NOW)
-        told = apply_changes(Listing(), read.changed)
+        told = apply_changes(Listing(), read.news, 100.0)
         self.assertEqual(dict(told.listing.upstreams), dict(read.listing.upstreams))
 
 
@@ -558,12 +558,25 @@
         self.assertTrue(self.task.reading)
         self.assertEqual(self.take(FeedChange), [])
 
-    # A removal that was held back reaches nodes that are as far as the reader.
-    def test_a_removal_that_was_held_back_is_taken_at_the_same_offset(self):
-        gone = ListedUpstream("b", gone=True)
-        self.task.hear_change(FeedChange(ORDER[0], 14, 14, (gone,)))
+    # Guards against a removal that only the reader knows that held it back.
+    def test_a_removal_that_was_held_back_counts_later_on_others_too(self):
+        held = ListedUpstream("b", gone=True, departs_ms=1000)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 16, (held,)))
+        self.assertIn("b", self.task.known.listing.upstreams)
+        self.pass_time(0.75)
+        self.assertIn("b", self.task.known.listing.upstreams)
+        self.pass_time(0.5)
         self.assertNotIn("b", self.task.known.listing.upstreams)
 
+    # Guards against removing an upstream whose entry came back in time.
+    def test_an_entry_that_comes_back_ends_its_removal_on_others_too(self):
+        known = self.task.known.listing.upstreams["b"]
+        held = ListedUpstream("b", gone=True, departs_ms=1000)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 16, (held,)))
+        self.task.hear_change(FeedChange(ORDER[0], 16, 18, (known,)))
+        self.pass_time(2.0)
+        self.assertIn("b", self.task.known.listing.upstreams)
+
     # Records that were read while a newer change came are still taken.
     def test_records_that_overlap_what_was_heard_are_taken(self):
         self.pass_time(2.5)
@@ -601,6 +614,42 @@
         self.assertEqual(fresh.task.known.published.version, 1)
         self.assertIn("a", fresh.task.known.listing.upstreams)
 
+    def hold_back_a_removal(self):
+        """Read a removal right after an outage; return the position before it."""
+        self.read_first(entry("a"), entry("b"))
+        self.pass_time(1.5)
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "down"))
+        self.pass_time(4.0)
+        self.take(object)
+        end = self.task.topics[Topic.UPSTREAMS].position.end
+        page = Followed(Topic.UPSTREAMS, end, end + 1, end + 1, (gone("a", end),))
+        self.task.take_records(page)
+        return end
+
+    # Guards against a reader that is replaced before its removal counts.
+    def test_a_reader_tells_of_a_removal_while_it_is_held_back(self):
+        end = self.hold_back_a_removal()
+        told = self.take(FeedChange)
+        (removal,) = told[0].upstreams
+        self.assertEqual((told[0].changed, removal.name), (end + 1, "a"))
+        self.assertTrue(1000 < removal.departs_ms <= 2200, removal)
+        marks = [m for mark in self.take(FeedMark) for m in mark.topics]
+        changed = [m.changed for m in marks if m.topic == Topic.UPSTREAMS.value]
+        self.assertEqual(set(changed), {end + 1})
+
+    # Guards against a snapshot that forgets what is held back.
+    def test_a_snapshot_tells_what_is_held_back(self):
+        self.hold_back_a_removal()
+        self.take(object)
+        self.task.give_snapshot(SnapshotAsked("vm-9.1", Topic.UPSTREAMS.value))
+        (given,) = self.take(SnapshotGiven)
+        fresh = FollowerTests("test_a_better_reader_ends_the_reading")
+        fresh.setUp()
+        fresh.task.take_snapshot(given)
+        self.assertIn("a", fresh.task.known.listing.upstreams)
+        fresh.pass_time(2.5)
+        self.assertEqual(sorted(fresh.task.known.listing.upstreams), ["b"])
+
     def test_removals_right_after_an_outage_wait(self):
         self.read_first(entry("a"), entry("b"))
         self.pass_time(1.5)
--- /dev/null
+++ b/tests/test_pattern_faulty_region.py
@@ -0,0 +1,40 @@
+"""Load pattern: nodes and the store of a region fail while things change.
+
+Twelve nodes follow a store that is silent, refuses, answers with old records or
+forgets, while nodes are killed, frozen or cut off. A node that nothing harmed for
+the stable window has to know each change in time. More seeds by hand:
+``python -m tests.faulty_region --seeds 500``.
+"""
+
+import unittest
+
+from absl import logging
+
+from tests.faulty_region import play
+
+FRESH_SEEDS = range(1000, 1012)
+HELD_BACK_REMOVAL = (0, 3, 16)
+
+
+class FaultyRegionTests(unittest.TestCase):
+    def setUp(self):
+        before = logging.get_verbosity()
+        logging.set_verbosity(logging.ERROR)
+        self.addCleanup(logging.set_verbosity, before)
+
+    def check(self, seeds):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed).findings[:3], [])
+
+    # Guards against upstreams that stay listed after they left during an outage.
+    def test_what_left_while_the_store_was_away_is_gone_on_every_node(self):
+        self.check(HELD_BACK_REMOVAL)
+
+    # Guards against any change that a sound node hears of too late.
+    def test_sound_nodes_know_every_change_in_time(self):
+        self.check(FRESH_SEEDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
