Tell an outage of the store by what the whole region heard of it

Cause: each node judged by its own failed calls whether the store had been away, and then held removals back for 2.2 s. A reader that was cut off alone for a second, or that came late out of its back-off, held them back for the whole region; a gap of 1.0 s counted as an outage, less than the 1.1 to 2.2 s that another reader takes to step in. Also, an answer about upstreams was compared with itself, so that the return was only seen if an answer about the configuration came first. Class: a conclusion on a shared thing from one's own path to it.

Now an outage is a gap of 2.5 s in which nobody in the region told of an answer, ended by the first one that anyone tells of; a node that hears of a removal goes by its own knowledge, and only a fresh one by what it is told.

--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -108,19 +108,25 @@
     )
 
 
-def apply_changes(listing, entries, now):
-    """Return the ``Applied`` entries that another node has read."""
+def apply_changes(listing, entries, now, departs_s):
+    """Return the ``Applied`` entries that another node has read.
 
-    def departs_s(entry):
-        return now + entry.departs_ms / 1000 if entry.departs_ms else NEVER_S
+    ``departs_s`` is when a removal counts by what this node knows of the store;
+    the other one, which may have been cut off itself, cannot put it off further.
+    """
+
+    def departs_s_of(entry):
+        told_s = now + entry.departs_ms / 1000 if entry.departs_ms else NEVER_S
+        return min(told_s, departs_s)
 
-    return _apply_entries(listing, entries, departs_s)
+    return _apply_entries(listing, entries, departs_s_of)
 
 
-def apply_whole(listing, entries, now):
+def apply_whole(listing, entries, now, departs_s):
     """Return the ``Applied`` entries that are all that another node knows."""
     names = {entry.name for entry in entries}
-    return apply_changes(listing, (*entries, *_missing(listing, names)), now)
+    missing = _missing(listing, names)
+    return apply_changes(listing, (*entries, *missing), now, departs_s)
 
 
 def entries_of(listing, now):
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -1,5 +1,6 @@
 """The task that follows the store's topics, itself or through other nodes."""
 
+import math
 import random
 
 from comfreyusher.events import note
@@ -76,7 +77,7 @@
         self.known = Knowledge(lambda channel, body: self.tell(channel, body))
         self.repeats = []
         self.marked_s = 0.0
-        self.outage = Outage()
+        self.outage = Outage(self.clock())
         self.started_s = 0.0
         self.routes = {
             RegionSeen: self.see_region,
@@ -175,7 +176,8 @@
             self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         state.failures = 0
         state.behind = behind
-        self.outage.end(now, self._last_confirmed_s())
+        if topic is Topic.UPSTREAMS:
+            self.outage.confirm(now)
         state.calling = False
         state.next_s = now if behind else self._next_s(topic, state)
         if end < state.wanted:
@@ -198,7 +200,6 @@
             state.position = change(state.position, known=False)
             state.next_s = now
             return
-        self.outage.begin(now)
         state.failed_s = now
         if state.behind:
             self._ask_node(state.marker, failed.topic)
@@ -222,7 +223,7 @@
         if read.topic is not Topic.UPSTREAMS:
             waited_ms = self._waited_ms(read.topic)
             return self.known.take_records(read.topic, read, whole, source, waited_ms)
-        departs_s = self.outage.departs_s(self.clock(), self._last_confirmed_s())
+        departs_s = self.outage.departs_s(self.clock())
         news = self.known.read_upstreams(read.records, whole, departs_s, source)
         self._spread(news, end)
         return bool(news)
@@ -268,6 +269,7 @@
                 self._hear_position(Topic(one.topic), state, one, now)
             if one.topic == Topic.UPSTREAMS.value:
                 fresh_s = now - one.age_ms / 1000
+                self.outage.confirm(fresh_s)
         if self.reading and rank < self.rank:
             if now - fresh_s < self.pace.stale_s(rank):
                 self.reading = False
@@ -336,7 +338,10 @@
             return
         if heard.changed <= position.end:
             return
-        applied = apply_changes(self.known.listing, heard.upstreams, self.clock())
+        now = self.clock()
+        departs_s = self.outage.departs_s(now)
+        listing = self.known.listing
+        applied = apply_changes(listing, heard.upstreams, now, departs_s)
         self.known.take_listing(applied, heard.node)
         if not state.has_all_pages(heard):
             return
@@ -408,12 +413,15 @@
         if records is None:
             return
         now = self.clock()
+        is_first = state.fresh
         state.position = Position(
             True, mark.end, mark.changed, now - mark.age_ms / 1000
         )
         note(PART, "snapshot taken", topic=topic.value, age_ms=mark.age_ms)
         if topic is Topic.UPSTREAMS:
-            applied = apply_whole(self.known.listing, given.upstreams, now)
+            departs_s = math.inf if is_first else self.outage.departs_s(now)
+            listing = self.known.listing
+            applied = apply_whole(listing, given.upstreams, now, departs_s)
             self.known.take_listing(applied, PEER)
             self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         else:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -138,7 +138,7 @@
 
     def test_changes_of_a_reader_give_its_listing(self):
         read = apply_upstreams(Listing(), (entry("a"), entry("b")), NOW)
-        told = apply_changes(Listing(), read.news, 100.0)
+        told = apply_changes(Listing(), read.news, 100.0, NOW)
         self.assertEqual(dict(told.listing.upstreams), dict(read.listing.upstreams))
 
 
@@ -560,6 +560,7 @@
 
     # Guards against a removal that only the reader knows that held it back.
     def test_a_removal_that_was_held_back_counts_later_on_others_too(self):
+        self.pass_time(3.0)
         held = ListedUpstream("b", gone=True, departs_ms=1000)
         self.task.hear_change(FeedChange(ORDER[0], 14, 16, (held,)))
         self.assertIn("b", self.task.known.listing.upstreams)
@@ -568,8 +569,15 @@
         self.pass_time(0.5)
         self.assertNotIn("b", self.task.known.listing.upstreams)
 
+    # Guards against a reader that was cut off itself and takes that for an outage.
+    def test_a_removal_counts_at_once_where_the_store_was_never_away(self):
+        held = ListedUpstream("b", gone=True, departs_ms=2000)
+        self.task.hear_change(FeedChange(ORDER[0], 14, 16, (held,)))
+        self.assertNotIn("b", self.task.known.listing.upstreams)
+
     # Guards against removing an upstream whose entry came back in time.
     def test_an_entry_that_comes_back_ends_its_removal_on_others_too(self):
+        self.pass_time(3.0)
         known = self.task.known.listing.upstreams["b"]
         held = ListedUpstream("b", gone=True, departs_ms=1000)
         self.task.hear_change(FeedChange(ORDER[0], 14, 16, (held,)))
@@ -626,6 +634,15 @@
         self.task.take_records(page)
         return end
 
+    # Guards against holding removals back after a moment without a reader.
+    def test_removals_after_a_short_cut_of_the_reader_count_at_once(self):
+        self.read_first(entry("a"), entry("b"))
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "no answer in time"))
+        self.pass_time(2.25)
+        page = Followed(Topic.UPSTREAMS, 10, 11, 11, (gone("a", 10),))
+        self.task.take_records(page)
+        self.assertNotIn("a", self.task.known.listing.upstreams)
+
     # Guards against a reader that is replaced before its removal counts.
     def test_a_reader_tells_of_a_removal_while_it_is_held_back(self):
         end = self.hold_back_a_removal()
--- a/tests/test_pattern_faulty_region.py
+++ b/tests/test_pattern_faulty_region.py
@@ -13,7 +13,7 @@
 from tests.faulty_region import play
 
 FRESH_SEEDS = range(1000, 1012)
-HELD_BACK_REMOVAL = (0, 3, 16)
+HELD_BACK_REMOVAL = (0, 3, 16, 305, 342, 380)
 
 
 class FaultyRegionTests(unittest.TestCase):
