Send nothing to an upstream that the entry itself heard is leaving

Requests could reach an upstream that had said it was leaving (DRAIN).

An owner that is slow, or that hears of changes later than the entry, binds the entry, which is in touch, by its own older list. Class: a decision that is carried out without what its executor knows.

Now such a grant counts as not reached: nothing is sent, the owner hears of it, and the next ask names the upstream as tried and avoided. An upstream that is listed again may be used at once. Tests: test_a_grant_of_an_upstream_that_has_left_is_not_used (with the check taken out it sends), test_departed_upstreams_are_kept_until_they_are_listed_ again.

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -77,6 +77,9 @@
         return stopped(state, visit)
     if visit.body_moved:
         return end_attempt(state, visit, attempt, Verdict.CANCELLED)
+    if grant.upstream in state.departed:
+        attempt = change(attempt, upstream=grant.upstream)
+        return _end_unreached(state, visit, attempt)
     remaining_s = visit.deadline_s - state.now_s
     attempt = change(
         attempt,
@@ -270,14 +273,19 @@
     if attempt is None:
         return stopped(state, visit)
     if not failure.sent:
-        avoided = state.avoided.set(attempt.upstream, state.now_s + AVOID_UNREACHED_S)
-        state = change(state, avoided=avoided)
-        return end_attempt(state, visit, attempt, Verdict.UNREACHED)
+        return _end_unreached(state, visit, attempt)
     if failure.started:
         return end_attempt(state, visit, attempt, Verdict.BROKEN)
     return end_attempt(state, visit, attempt, Verdict.CRASHED)
 
 
+def _end_unreached(state, visit, attempt):
+    """End an attempt that was not sent, and avoid its upstream for a while."""
+    avoided = state.avoided.set(attempt.upstream, state.now_s + AVOID_UNREACHED_S)
+    state = change(state, avoided=avoided)
+    return end_attempt(state, visit, attempt, Verdict.UNREACHED)
+
+
 def pass_interim(state, visit, interim):
     """Pass a 1xx answer on."""
     if visit.streaming or find_attempt(visit, interim.exchange) is None:
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -115,7 +115,8 @@
 
     ``groups`` maps services to their ``GroupPlace`` tuples. ``silent_owners``
     maps nodes that did not answer, ``avoided`` upstreams that this node did
-    not reach, to the end of that memory. ``keys_required`` tells whether
+    not reach, to the end of that memory. ``departed`` holds upstreams that leave or
+    are gone, by what this node has heard. ``keys_required`` tells whether
     callers must send a customer's key. ``heard`` maps owners to the awake
     seconds at which they last answered anything, ``asking`` to the number of
     attempts that wait for their first word. ``awake_s`` is ``now_s`` less the time
@@ -136,6 +137,7 @@
     heard: immutables.Map = immutables.Map()
     asking: immutables.Map = immutables.Map()
     avoided: immutables.Map = immutables.Map()
+    departed: immutables.Map = immutables.Map()
     spill_tokens: float = 0.0
     spill_s: float = 0.0
     now_s: float = 0.0
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -87,6 +87,7 @@
     draining: bool
     groups: immutables.Map
     ownership: Ownership
+    departed: immutables.Map = immutables.Map()
 
 
 class EntryTask(Task):
@@ -335,6 +336,7 @@
             draining=situation.draining,
             groups=situation.groups,
             ownership=situation.ownership,
+            departed=situation.departed,
         )
         if self.starting and situation.ready and situation.groups:
             self.starting = False
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -10,6 +10,7 @@
 from comfreyusher.routing import profile_of
 
 SLACK_SHARE = 0.7
+DEPARTED_KEPT_S = 120.0
 NOBODY = immutables.Map()
 
 
@@ -18,13 +19,15 @@
     """Plans by group, and the members that they were made from.
 
     ``members`` maps every group to a map of ``Member`` by name; ``used`` holds
-    those maps as the plans saw them. ``homes`` maps upstreams to their group.
+    those maps as the plans saw them. ``homes`` maps upstreams to their group,
+    ``departed`` those that leave or are gone to when that was heard.
     """
 
     members: immutables.Map = immutables.Map()
     homes: immutables.Map = immutables.Map()
     used: immutables.Map = immutables.Map()
     plans: immutables.Map = immutables.Map()
+    departed: immutables.Map = immutables.Map()
 
 
 def update_members(book, entries, regions, own_region, now):
@@ -46,7 +49,20 @@
         found = members.get(group, NOBODY).set(entry.name, _member_of(entry, now))
         members = members.set(group, found)
         homes = homes.set(entry.name, group)
-    return dataclasses.replace(book, members=members, homes=homes)
+    departed = _update_departed(book.departed, entries, now)
+    return dataclasses.replace(book, members=members, homes=homes, departed=departed)
+
+
+def _update_departed(departed, entries, now):
+    for name, heard_s in departed.items():
+        if now - heard_s > DEPARTED_KEPT_S:
+            departed = departed.delete(name)
+    for entry in entries:
+        if entry.gone or entry.leaving:
+            departed = departed.set(entry.name, departed.get(entry.name, now))
+        elif entry.name in departed:
+            departed = departed.delete(entry.name)
+    return departed
 
 
 def derive_plans(book, table):
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -176,6 +176,7 @@
             self.phase is not Phase.SERVING,
             derive_groups(self.book.plans),
             self.ownership,
+            self.book.departed,
         )
         self.tell("entry", situation)
         self._log_readiness()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -76,13 +76,20 @@
         self.task.tell = lambda channel, body: self.sent.append((channel, body))
         self.tell_situation(self.ROUTE)
 
-    def tell_situation(self, route, regions=("r1",)):
+    def tell_situation(self, route, regions=("r1",), departed=()):
         table = publish_routes(RoutingTable(), Published(1, (route,)))
         members = [member(n) for n in range(1, 5)] + [member(9, "r2")]
         ownership = update_view(Ownership(), members)
         groups = {"s": tuple(GroupPlace(f"s@{r}", r) for r in regions)}
         self.task.routes[Situation](
-            Situation(table, True, False, immutables.Map(groups), ownership)
+            Situation(
+                table,
+                True,
+                False,
+                immutables.Map(groups),
+                ownership,
+                immutables.Map(dict.fromkeys(departed, 90.0)),
+            )
         )
 
     def say(self, *bodies):
@@ -330,6 +337,18 @@
                 self.say(ReplyStart(key, OK, b"done", True))
                 self.assertEqual(self.answers()[0].body, b"done")
 
+    # Guards against sending to an upstream whose leaving only the owner missed.
+    def test_a_grant_of_an_upstream_that_has_left_is_not_used(self):
+        self.tell_situation(self.ROUTE, departed=("u1",))
+        self.arrive(method="POST")
+        self.grant()
+        self.assertEqual(self.take(SendStart), [])
+        self.assertEqual(self.take(Report)[-1].verdict, Verdict.UNREACHED)
+        ask = self.take(Ask)[-1]
+        self.assertEqual((ask.tried, ask.avoided, ask.repeats), (("u1",), ("u1",), 0))
+        self.grant(2, "u2")
+        self.assertEqual(len(self.take(SendStart)), 1)
+
     def test_what_was_never_sent_goes_to_another_upstream(self):
         self.arrive(method="POST")
         self.say(SendFailed(self.grant(), False, False, "refused"))
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -11,6 +11,7 @@
     encode_record,
     new_record,
 )
+from comfreyusher.flow import change
 from comfreyusher.messages import ListedUpstream
 from comfreyusher.node import PlanBook, derive_groups, derive_plans, update_members
 from comfreyusher.routing import RoutingTable, build_table
@@ -70,6 +71,21 @@
                 dict(derive_groups(book.plans)), dict(derive_groups(fresh.plans))
             )
 
+    # Guards against sending to an upstream after its leaving was heard of.
+    def test_departed_upstreams_are_kept_until_they_are_listed_again(self):
+        ready = ListedUpstream("u", "s", "h", 1, "d1", 4)
+        book = PlanBook()
+        steps = (
+            (change(ready, leaving=True), 1.0, ["u"]),
+            (change(ready, gone=True), 2.0, ["u"]),
+            (change(ready, born_ms=9), 3.0, []),
+            (change(ready, gone=True), 4.0, ["u"]),
+            (change(ready, name="v"), 300.0, []),
+        )
+        for entry, now, departed in steps:
+            book = update_members(book, (entry,), REGIONS, "r1", now)
+            self.assertEqual(list(book.departed), departed)
+
     def test_revised_profile_reaches_every_plan(self):
         entry = ListedUpstream("u", "s", "h", 1, "d1", 4)
         book = update_members(PlanBook(), (entry,), REGIONS, "r1", 1.0)
