Read the newest records after the store has forgotten what follows

Cause: a node that is told that its offset has expired forgot only that it had a position, to read the newest records at its next tick. It needs an outage, a lost history, and no reader that reads between them. Ruled out: old answers of the store (the only calls are Follow, each answered 'expired'). Class: retrying what cannot succeed because the memory of its failure is overwritten by somebody else's older knowledge.

Now the topic remembers that its offset has expired until the store has answered a read of the newest records, whatever peers give in between.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -113,7 +113,7 @@
             return
         state.calling = True
         state.called_s = self.clock()
-        if state.position.known and not self._skips_records(topic, state):
+        if state.can_follow and not self._skips_records(topic, state):
             start = state.position.end
             call = Follow(CHANNEL, topic, start, int(wait_s * 1000))
         else:
@@ -175,6 +175,7 @@
         if first and topic is Topic.UPSTREAMS:
             self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         state.failures = 0
+        state.expired = False
         state.behind = behind
         if topic is Topic.UPSTREAMS:
             self.outage.confirm(now)
@@ -197,6 +198,7 @@
         state.calling = False
         now = self.clock()
         if failed.expired:
+            state.expired = True
             state.position = change(state.position, known=False)
             state.next_s = now
             return
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -27,7 +27,8 @@
 
     ``marker`` is the reader that knows of the offset ``wanted`` since ``wanted_s``.
     While this node is ``behind``, another one was asked at ``asked_s``, and the
-    store is read at ``store_s``. ``askers`` are nodes that wait for this one,
+    store is read at ``store_s``. ``expired`` tells that the store has forgotten
+    what follows the position. ``askers`` are nodes that wait for this one,
     ``pages`` those of a change that is not complete. Times are monotonic seconds.
     """
 
@@ -37,6 +38,7 @@
         self.called_s = 0.0
         self.next_s = 0.0
         self.failures = 0
+        self.expired = False
         self.failed_s = 0.0
         self.behind = False
         self.marker = ""
@@ -52,6 +54,11 @@
         """Whether nothing was ever known of the topic."""
         return self.position.confirmed_s == NEVER_S
 
+    @property
+    def can_follow(self):
+        """Whether the store may be asked for what follows the position."""
+        return self.position.known and not self.expired
+
     def has_news(self, end):
         """Tell whether anything that matters follows an offset."""
         return self.position.known and self.position.changed > end
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -223,6 +223,19 @@
         self.pass_time(0.5)
         self.assertIsInstance(self.calls(Topic.UPSTREAMS)[0], ReadNewest)
 
+    # Guards against nodes that give each other what the store has forgotten,
+    # and never read what came since.
+    def test_an_expired_offset_is_not_tried_again_after_a_snapshot(self):
+        self.read_first(entry("a"))
+        self.take(object)
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "expired", True))
+        mark = TopicMark(Topic.UPSTREAMS.value, 10, 10, 3000)
+        upstream = ListedUpstream("a", "s", "10.0.0.9", 80, "d", 4)
+        self.task.take_snapshot(SnapshotGiven(mark, (), (upstream,)))
+        self.pass_time(1.5)
+        calls = self.calls(Topic.UPSTREAMS)
+        self.assertEqual([type(call) for call in calls], [ReadNewest])
+
     def test_a_store_that_is_down_is_asked_less_and_less(self):
         self.read_first()
         self.pass_time(1.5)
--- a/tests/test_pattern_faulty_region.py
+++ b/tests/test_pattern_faulty_region.py
@@ -14,6 +14,7 @@
 
 FRESH_SEEDS = range(1000, 1012)
 HELD_BACK_REMOVAL = (0, 3, 16, 305, 342, 380)
+FORGOTTEN_HISTORY = (5042,)
 
 
 class FaultyRegionTests(unittest.TestCase):
@@ -31,6 +32,10 @@
     def test_what_left_while_the_store_was_away_is_gone_on_every_node(self):
         self.check(HELD_BACK_REMOVAL)
 
+    # Guards against a region that never reads on after the store forgot its history.
+    def test_a_region_reads_on_after_the_store_forgot_its_history(self):
+        self.check(FORGOTTEN_HISTORY)
+
     # Guards against any change that a sound node hears of too late.
     def test_sound_nodes_know_every_change_in_time(self):
         self.check(FRESH_SEEDS)
