Do not tell newest records as a change

Cause: a reader that reads the newest records of all upstreams, as a fresh process or after its offset has expired, told them as the change from what it knew before, for a fresh one from offset 0. A node in between took that for all that had happened and moved to the reader's end; but the newest records don't tell of an upstream that the node knew and that had ended meanwhile. Evidence: tests/faulty_region.py, seed 20074: vm-8 is frozen from 16.7 to 24.7 s; up-1 ends at 18.56 s. Class: a difference that is applied to another state than it was made from.

Now newest records are not told; the mark alone moves to their end, and a node that is not that far reads on from its own offset. The price is one call of each such node when a fresh node begins to read. Tests, all failed before: test_newest_records_are_not_told_as_a_change, test_newest_records_after_an_expired_offset_count_as_changed, seed 20074.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -220,15 +220,18 @@
     def _apply(self, read, end, whole, source):
         """Apply records of a topic; return whether they matter.
 
-        ``source`` names the node that gave them, or the store.
+        ``source`` names the node that gave them, or the store. The newest records
+        of upstreams don't tell what came and ended before, so other nodes, which
+        may know of that, have to read for themselves.
         """
         if read.topic is not Topic.UPSTREAMS:
             waited_ms = self._waited_ms(read.topic)
             return self.known.take_records(read.topic, read, whole, source, waited_ms)
         departs_s = self.outage.departs_s(self.clock())
         news = self.known.read_upstreams(read.records, whole, departs_s, source)
-        self._spread(news, end)
-        return bool(news)
+        if not whole:
+            self._spread(news, end)
+        return whole or bool(news)
 
     def _spread(self, news, end):
         """Tell the region of entries that this reader read up to an offset."""
--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -33,6 +33,7 @@
 CALL_TIMEOUT_S = 1.5
 STORE_S = 0.02
 NEAR_S = 0.002
+SLOW_S = 0.4
 LOSS = 0.003
 VIEW_S = 1.5
 APPLY_S = 3.0
@@ -55,6 +56,7 @@
     "store_old",
     "store_forgets",
 )
+MORE_KINDS = (*FAULT_KINDS, "slow", "most_refused")
 STORE_KINDS = frozenset(("store_silent", "store_refuses", "store_old"))
 
 
@@ -78,14 +80,16 @@
     what: str
 
 
-def draw_faults(chance, names):
-    """Return the faults of a run."""
+def draw_faults(chance, names, kinds):
+    """Return the faults of a run, of the given kinds."""
     faults = []
     for _ in range(chance.randint(2, 7)):
-        kind = chance.choice(FAULT_KINDS)
+        kind = chance.choice(kinds)
         begin_s = chance.uniform(CALM_FROM_S, LENGTH_S - 12.0)
         end_s = begin_s + chance.choice((0.3, 1.0, 2.5, 5.0, 8.0))
         count = chance.randint(1, max(1, len(names) // 2))
+        if kind == "most_refused":
+            count = len(names) - 1
         nodes = frozenset(chance.sample(names, count))
         faults.append(Fault(kind, begin_s, end_s, nodes, chance.uniform(0.05, 0.5)))
     return faults
@@ -215,8 +219,17 @@
         if task is None:
             return
         place = self.place_of(node.partition(".")[0])
-        near = [n for n in self.tasks if self.place_of(n.partition(".")[0]) == place]
-        task.see_region(RegionSeen(tuple(self.tasks), tuple(near)))
+        seen = [n for n in self.tasks if n == node or not self._are_cut(n, node)]
+        near = [n for n in seen if self.place_of(n.partition(".")[0]) == place]
+        task.see_region(RegionSeen(tuple(seen), tuple(near)))
+
+    def show_views(self):
+        """Tell every node who lives, by what it hears."""
+        for node in list(self.tasks):
+            self.show_view(node)
+
+    def _are_cut(self, one, other):
+        return self._has(one, "cut_nodes") or self._has(other, "cut_nodes")
 
     def _tick(self, node):
         task = self.tasks.get(node)
@@ -247,6 +260,9 @@
             for vm in sorted(fault.nodes):
                 self.stop_node(vm)
                 self.at(fault.end_s, lambda v=vm: self.start_node(v))
+        elif fault.kind == "cut_nodes":
+            self.at(self.now + VIEW_S, self.show_views)
+            self.at(fault.end_s + VIEW_S / 2, self.show_views)
         elif fault.kind == "store_forgets":
             for log in self.logs.values():
                 log.first = len(log.records)
@@ -294,6 +310,8 @@
         if channel == "datagrams" and self.chance.random() < self._loss(node, other):
             return
         due_s = self.now + NEAR_S + self.chance.uniform(0, 0.002)
+        if self._has(node, "slow") or self._has(other, "slow"):
+            due_s += self.chance.uniform(0, SLOW_S)
         self.at(due_s, lambda: self._deliver(node, other, addressed.body))
 
     def _loss(self, node, other):
@@ -304,7 +322,7 @@
         task = self.tasks.get(other)
         if task is None:
             return
-        if self._has(node, "cut_nodes", "cut_one_way") or self._has(other, "cut_nodes"):
+        if self._are_cut(node, other) or self._has(node, "cut_one_way"):
             return
         if self._has(other, "freeze"):
             self.at(self.now + 0.05, lambda: self._deliver(node, other, body))
@@ -316,7 +334,7 @@
     def _call(self, node, call):
         self.calls += 1
         called_s = self.now
-        if self._has(node, "refuse"):
+        if self._has(node, "refuse", "most_refused"):
             self._fail(node, call, called_s, STORE_S, "refused")
             return
         fault = self._store_fault()
@@ -443,7 +461,7 @@
                 self.findings.append(Finding(self.now, node, what))
 
 
-def play(seed, nodes=12, upstreams=12):
+def play(seed, kinds=FAULT_KINDS, nodes=12, upstreams=12):
     """Return the region after a run with the faults of a seed."""
     chance = random.Random(seed)
     region = FaultyRegion(nodes, upstreams, chance)
@@ -454,7 +472,7 @@
         region.every(first_s, HEARTBEAT_S, lambda n=name: region.beat(n))
     for vm in region.vms:
         region.at(chance.uniform(0, 0.3), lambda v=vm: region.start_node(v))
-    region.faults = draw_faults(chance, region.vms)
+    region.faults = draw_faults(chance, region.vms, kinds)
     for fault in region.faults:
         region.at(fault.begin_s, lambda f=fault: region.begin_fault(f))
     _draw_changes(region, chance)
@@ -483,11 +501,13 @@
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--nodes", type=int, default=12)
+    parser.add_argument("--more", action="store_true", help="more kinds of faults")
     options = parser.parse_args()
     logging.set_verbosity(logging.ERROR)
+    kinds = MORE_KINDS if options.more else FAULT_KINDS
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
-        region = play(seed, options.nodes)
+        region = play(seed, kinds, options.nodes)
         if region.findings:
             broken += 1
             first = region.findings[0]
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -223,6 +223,25 @@
         self.pass_time(0.5)
         self.assertIsInstance(self.calls(Topic.UPSTREAMS)[0], ReadNewest)
 
+    # Guards against a fresh reader that cannot know what ended before it came.
+    def test_newest_records_are_not_told_as_a_change(self):
+        self.task.reading = True
+        self.read_first(entry("a"))
+        self.assertEqual(self.take(FeedChange), [])
+        marks = [m for mark in self.take(FeedMark) for m in mark.topics]
+        self.assertIn(TopicMark(Topic.UPSTREAMS.value, 10, 10, 0), marks)
+
+    # Guards against entries that came and ended while the reader was away.
+    def test_newest_records_after_an_expired_offset_count_as_changed(self):
+        self.task.reading = True
+        self.read_first(entry("a"))
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "expired", True))
+        self.take(object)
+        self.task.take_newest(NewestRead(Topic.UPSTREAMS, 40, (entry("a"),)))
+        self.assertEqual(self.take(FeedChange), [])
+        marks = [m for mark in self.take(FeedMark) for m in mark.topics]
+        self.assertIn(TopicMark(Topic.UPSTREAMS.value, 40, 40, 0), marks)
+
     # Guards against nodes that give each other what the store has forgotten,
     # and never read what came since.
     def test_an_expired_offset_is_not_tried_again_after_a_snapshot(self):
--- a/tests/test_pattern_faulty_region.py
+++ b/tests/test_pattern_faulty_region.py
@@ -15,6 +15,7 @@
 FRESH_SEEDS = range(1000, 1012)
 HELD_BACK_REMOVAL = (0, 3, 16, 305, 342, 380)
 FORGOTTEN_HISTORY = (5042,)
+FRESH_READER = (20074,)
 
 
 class FaultyRegionTests(unittest.TestCase):
@@ -36,6 +37,10 @@
     def test_a_region_reads_on_after_the_store_forgot_its_history(self):
         self.check(FORGOTTEN_HISTORY)
 
+    # Guards against a fresh reader that is believed about what ended before it came.
+    def test_what_left_before_a_fresh_reader_came_is_gone_on_every_node(self):
+        self.check(FRESH_READER)
+
     # Guards against any change that a sound node hears of too late.
     def test_sound_nodes_know_every_change_in_time(self):
         self.check(FRESH_SEEDS)
