Let only a reader that the store answers end the reading of another one

Cause: a reader's marks carried the age of what it knew, also when another reader had told it. A reader of a better rank that the store refuses passed on the freshness of the one that reads, who took that for a better reader's and stopped; a second later all were stale, and it began anew. Sites name this trouble: the store turns some machines away. Class: hearsay that is passed on as one's own knowledge.

Now a mark also tells when the store last answered its sender, and only that ends the reading of others. Tests that failed before: test_a_better_reader_that_the_store_refuses_does_ not_end_the_reading, test_a_mark_tells_when_the_store_answered_this_reader.

--- a/comfreyusher/feeds/_marks.py
+++ b/comfreyusher/feeds/_marks.py
@@ -36,10 +36,15 @@
         yield FeedChange(node, repeat.base, repeat.changed, entries, page, len(starts))
 
 
+def age_ms(at_s, now):
+    """Return how long ago something was, as it travels."""
+    return int(min(MAX_AGE_S, now - at_s) * 1000)
+
+
 def mark_of(topic, position, now):
     """Return the mark of a topic's position."""
-    age_ms = int(min(MAX_AGE_S, now - position.confirmed_s) * 1000)
-    return TopicMark(topic.value, position.end, position.changed, age_ms)
+    age = age_ms(position.confirmed_s, now)
+    return TopicMark(topic.value, position.end, position.changed, age)
 
 
 def marks_of(topics, now):
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -8,6 +8,7 @@
 from comfreyusher.feeds._log import log_marker
 from comfreyusher.feeds._marks import (
     Repeat,
+    age_ms,
     mark_of,
     marks_of,
     one_less,
@@ -23,6 +24,7 @@
 from comfreyusher.feeds._reader import backoff_s, rank_readers
 from comfreyusher.feeds._relay import first_read_s, parent_of, store_after_s
 from comfreyusher.feeds._state import (
+    NEVER_S,
     Position,
     add_departures,
     apply_changes,
@@ -77,6 +79,7 @@
         self.known = Knowledge(lambda channel, body: self.tell(channel, body))
         self.repeats = []
         self.marked_s = 0.0
+        self.read_s = NEVER_S
         self.outage = Outage(self.clock())
         self.started_s = 0.0
         self.routes = {
@@ -179,6 +182,7 @@
         state.behind = behind
         if topic is Topic.UPSTREAMS:
             self.outage.confirm(now)
+            self.read_s = now
         state.calling = False
         state.next_s = now if behind else self._next_s(topic, state)
         if end < state.wanted:
@@ -254,7 +258,9 @@
         for repeat in self.repeats:
             messages.extend(pages_of(repeat, self.own.node))
         self.repeats = [one_less(repeat) for repeat in self.repeats if repeat.left > 1]
-        messages.append(FeedMark(self.own.node, marks_of(self.topics, now)))
+        read_age_ms = age_ms(self.read_s, now)
+        marks = marks_of(self.topics, now)
+        messages.append(FeedMark(self.own.node, marks, read_age_ms))
         for node in self.nodes:
             if node != self.own.node:
                 for body in messages:
@@ -265,7 +271,6 @@
         now = self.clock()
         known = mark.node in self.nodes
         rank = self.nodes.index(mark.node) if known else len(self.nodes)
-        fresh_s = now
         for one in mark.topics:
             state = self.topics.get(Topic(one.topic))
             if state is not None:
@@ -273,10 +278,9 @@
                     self._follow_marker(state, one, mark.node, now)
                 self._hear_position(Topic(one.topic), state, one, now)
             if one.topic == Topic.UPSTREAMS.value:
-                fresh_s = now - one.age_ms / 1000
-                self.outage.confirm(fresh_s)
+                self.outage.confirm(now - one.age_ms / 1000)
         if self.reading and rank < self.rank:
-            if now - fresh_s < self.pace.stale_s(rank):
+            if mark.read_age_ms / 1000 < self.pace.stale_s(rank):
                 self.reading = False
                 self.repeats = []
                 note(PART, "reader stops", better=mark.node)
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -41,10 +41,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedMark:
-    """A reader's positions in all topics."""
+    """A reader's positions in all topics.
+
+    ``read_age_ms`` is how long ago the store last answered this reader itself;
+    the ages of its topics may be those that other readers told.
+    """
 
     node: str
     topics: tuple[TopicMark, ...]
+    read_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -303,6 +303,28 @@
         self.task.hear_mark(self.mark(0, 20, 10))
         self.assertFalse(self.task.reading)
 
+    # Guards against a reader that the store refuses and that stops one it serves.
+    def test_a_better_reader_that_the_store_refuses_does_not_end_the_reading(self):
+        self.pass_time(2.5)
+        self.assertTrue(self.task.reading)
+        topic = TopicMark(Topic.UPSTREAMS.value, 10, 10, 0)
+        self.task.hear_mark(FeedMark(ORDER[0], (topic,), read_age_ms=5000))
+        self.assertTrue(self.task.reading)
+        self.task.hear_mark(FeedMark(ORDER[0], (topic,), read_age_ms=100))
+        self.assertFalse(self.task.reading)
+
+    # Guards against telling another reader's answers as one's own.
+    def test_a_mark_tells_when_the_store_answered_this_reader(self):
+        self.read_first(entry("a"))
+        self.pass_time(2.5)
+        self.task.hear_mark(self.mark(3, 20, 10))
+        self.take(object)
+        self.pass_time(1.5)
+        (mark, *_) = self.take(FeedMark)
+        self.assertGreater(mark.read_age_ms, 2000)
+        ages = [m.age_ms for m in mark.topics if m.topic == Topic.UPSTREAMS.value]
+        self.assertLess(ages[0], 2000)
+
     def test_a_change_is_taken_from_the_reader_without_a_call(self):
         self.read_first(entry("a"))
         self.take(ReadNewest)
