Ask the next node up the tree when a parent gives nothing

Cause: a node asks its parent in its data centre once, and then waits for 0.3 to 0.5 of the bound before it reads the store. A node that has died is listed for another second or two, so its whole branch waited. Class: a timeout sized for the slowest way, on a path with faster ones.

Now the next one up is asked after 0.3 s, up to the reader. Test, failed before: test_a_dead_parent_delays_nobody_by_half_of_the_bound.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -56,6 +56,7 @@
 CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
 ASK_AGAIN_S = 0.5
+ASK_NEXT_S = 0.3
 ASK_MARKER_AFTER_S = 0.3
 ASKER_KEPT_S = 3.0
 STORE, PEER = "store", "peer"
@@ -379,7 +380,7 @@
     def _ask_node(self, node, topic):
         """Ask a node for what it knows of a topic beyond this node."""
         state = self.topics[topic]
-        state.asked_s = self.clock()
+        state.asked, state.asked_s = node, self.clock()
         end = state.position.end if state.position.known else -1
         self.tell("peers", ToNode(node, SnapshotAsked(self.own.node, topic.value, end)))
 
@@ -466,6 +467,14 @@
         if state.asked_s < state.called_s <= now - ASK_MARKER_AFTER_S:
             self._ask_node(state.marker, topic)
 
+    def _ask_next(self, topic, state, now):
+        """Ask the parent of a node that gave nothing, up to the reader."""
+        if not state.asked or now - state.asked_s < ASK_NEXT_S:
+            return
+        above = parent_of(state.asked, self.near, state.marker)
+        if above and above not in (state.asked, self.own.node):
+            self._ask_node(above, topic)
+
     def _read_if_needed(self, topic, state, now):
         """Read the store as a reader, or after nobody else gave what is missing."""
         if topic in NEEDED and state.fresh:
@@ -480,5 +489,7 @@
             self._call(topic, waits.get(topic, 0.0))
         elif state.behind and now >= state.store_s:
             self._call(topic)
+        elif state.behind and self._is_relayed(topic, state):
+            self._ask_next(topic, state, now)
         elif topic in NEEDED and not state.position.known:
             self._call(topic)
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -26,8 +26,8 @@
     """State of one topic: its position and the call that is under way.
 
     ``marker`` is the reader that knows of the offset ``wanted`` since ``wanted_s``.
-    While this node is ``behind``, another one was asked at ``asked_s``, and the
-    store is read at ``store_s``. ``expired`` tells that the store has forgotten
+    While this node is ``behind``, ``asked`` was asked at ``asked_s``, and the store
+    is read at ``store_s``. ``expired`` tells that the store has forgotten
     what follows the position. ``askers`` are nodes that wait for this one,
     ``pages`` those of a change that is not complete. Times are monotonic seconds.
     """
@@ -44,6 +44,7 @@
         self.marker = ""
         self.wanted = 0
         self.wanted_s = 0.0
+        self.asked = ""
         self.asked_s = 0.0
         self.store_s = 0.0
         self.askers = {}
--- a/tests/test_pattern_large_configuration.py
+++ b/tests/test_pattern_large_configuration.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from comfreyusher.feeds import rank_readers
 from tests.region import Region
 
 NODES = 52
@@ -48,6 +49,16 @@
         region.run(10.0)
         self.assertEqual(region.late(1, APPLY_S), [])
 
+    # A node whose parent is dead but still listed must not wait for the store.
+    def test_a_dead_parent_delays_nobody_by_half_of_the_bound(self):
+        names = [f"vm-{number}.1" for number in range(0, NODES, 3)]
+        head = rank_readers("d0", names)[0]
+        region = self.region(silent=(head,))
+        region.publish(2, 10)
+        region.run(10.0)
+        late = region.late(2, 8.0 + APPLY_S * 0.4)
+        self.assertEqual([name for name in late if name != head], [])
+
     # What crosses the narrow link must not grow with the number of nodes.
     def test_few_nodes_read_the_store(self):
         region = self.region()
