--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -205,7 +205,7 @@
         if failed.expired:
             state.expired = True
             state.position = change(state.position, known=False)
-            state.next_s = now
+            self._call(failed.topic)
             return
         state.failed_s = now
         if state.behind:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -215,6 +215,24 @@
         changes = self.take(FeedChange)
         self.assertEqual([e.name for e in changes[0].upstreams], ["a"])
 
+    # Guards against losing a tenth of the bound when history is forgotten.
+    def test_an_expired_offset_is_followed_by_a_read_at_once(self):
+        self.read_first()
+        self.task.reading = True
+        self.take(object)
+        failed = ReadFailed(Topic.CONFIGURATION, "expired", True, 50)
+        self.task.take_failure(failed)
+        self.assertEqual([type(c) for c in self.take(Follow | ReadNewest)], [ReadNewest])
+
+    # Guards against waiting long after a connection that was cut only once.
+    def test_a_first_failure_is_tried_again_at_the_next_tick(self):
+        self.read_first()
+        self.task.reading = True
+        self.take(object)
+        self.task.take_failure(ReadFailed(Topic.CONFIGURATION, "ECONNRESET"))
+        self.pass_time(0.25)
+        self.assertEqual(len(self.calls(Topic.CONFIGURATION)), 1)
+
     def test_an_expired_offset_makes_it_read_the_newest_records(self):
         self.read_first()
         self.pass_time(1.5)
