--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -222,7 +222,9 @@
         self.take(object)
         failed = ReadFailed(Topic.CONFIGURATION, "expired", True, 50)
         self.task.take_failure(failed)
-        self.assertEqual([type(c) for c in self.take(Follow | ReadNewest)], [ReadNewest])
+        self.assertEqual(
+            [type(c) for c in self.take(Follow | ReadNewest)], [ReadNewest]
+        )
 
     # Guards against waiting long after a connection that was cut only once.
     def test_a_first_failure_is_tried_again_at_the_next_tick(self):
