Bound what an answer of the store may bring

Now 8 MB fail the call; a page of newest records has at most 1 MB, a read 1 MB. Test, failed before: test_an_answer_without_an_end_fails_the_call.

--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -43,6 +43,7 @@
 PART = "platform"
 SWEEP_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 1.5
+MAX_ANSWER_BYTES = 8 << 20
 MAX_IDLE_S = 30.0
 CALLS_PER_S = 10.0
 BURST_CALLS = 40.0
@@ -65,6 +66,7 @@
         self.due_s = due_s
         self.pages = pages
         self.status = 0
+        self.size_bytes = 0
         self.parts = []
 
 
@@ -155,6 +157,13 @@
 
     def _take_part(self, reply, state):
         state.parts.append(reply.body)
+        state.size_bytes += len(reply.body)
+        if state.size_bytes > MAX_ANSWER_BYTES:
+            del self.calls[reply.exchange]
+            if not reply.ended:
+                self.tell(HTTP_CHANNEL, SendCancel(reply.exchange))
+            self._fail(state.request, f"an answer over {MAX_ANSWER_BYTES} bytes")
+            return
         if not reply.ended:
             credit = ReplyCredit(reply.exchange, len(reply.body))
             self.tell(HTTP_CHANNEL, credit)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -269,6 +269,19 @@
         self.task.take_start(ReplyStart(exchange, AnswerHead(status), body, True))
         return [body for channel, body in self.told if channel == "user"]
 
+    # Guards against an answer of the store that fills the memory.
+    def test_an_answer_without_an_end_fails_the_call(self):
+        exchange = self.call(ReadNewest("user", Topic.UPSTREAMS))
+        part = bytes(1 << 20)
+        head = AnswerHead(200)
+        self.task.take_start(ReplyStart(exchange, head, part, False))
+        for _ in range(16):
+            self.task.take_body(ReplyBody(exchange, part, False))
+        told = [type(body) for _, body in self.told]
+        self.assertEqual(told.count(ReadFailed), 1)
+        self.assertEqual(told.count(SendCancel), 1)
+        self.assertEqual(self.task.calls, {})
+
     def test_an_append_tells_its_offset(self):
         exchange = self.call(Append("user", "t", Topic.ACCOUNTS, "k", b"v", 4))
         (told,) = self.answer(exchange, 200, b'{"offset": 4, "end": 5}')
