--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -23,9 +23,17 @@
     Followed,
     NewestRead,
     ReadFailed,
-    Record,
     Topic,
 )
+from tests.faults import (
+    CALM_FROM_S,
+    FAULT_KINDS,
+    LENGTH_S,
+    MORE_KINDS,
+    STORE_KINDS,
+    Log,
+    draw_faults,
+)
 
 TICK_S = 0.25
 HEARTBEAT_S = 1.5
@@ -40,35 +48,6 @@
 DRAIN_S = 3.0
 TOUCH_S = 4.0
 SENDING_S = 0.1
-CALM_FROM_S = 8.0
-LENGTH_S = 45.0
-FAULT_KINDS = (
-    "kill",
-    "freeze",
-    "cut_store",
-    "cut_store_back",
-    "refuse",
-    "cut_nodes",
-    "cut_one_way",
-    "lossy",
-    "store_silent",
-    "store_refuses",
-    "store_old",
-    "store_forgets",
-)
-MORE_KINDS = (*FAULT_KINDS, "slow", "most_refused")
-STORE_KINDS = frozenset(("store_silent", "store_refuses", "store_old"))
-
-
-@dataclasses.dataclass(frozen=True)
-class Fault:
-    """A fault of some nodes, or of the store, between two times in seconds."""
-
-    kind: str
-    begin_s: float
-    end_s: float
-    nodes: frozenset = frozenset()
-    strength: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,56 +59,6 @@
     what: str
 
 
-def draw_faults(chance, names, kinds):
-    """Return the faults of a run, of the given kinds."""
-    faults = []
-    for _ in range(chance.randint(2, 7)):
-        kind = chance.choice(kinds)
-        begin_s = chance.uniform(CALM_FROM_S, LENGTH_S - 12.0)
-        end_s = begin_s + chance.choice((0.3, 1.0, 2.5, 5.0, 8.0))
-        count = chance.randint(1, max(1, len(names) // 2))
-        if kind == "most_refused":
-            count = len(names) - 1
-        nodes = frozenset(chance.sample(names, count))
-        faults.append(Fault(kind, begin_s, end_s, nodes, chance.uniform(0.05, 0.5)))
-    return faults
-
-
-class Log:
-    """The store's records of one topic, with their times; some are forgotten."""
-
-    def __init__(self):
-        self.records = []
-        self.times = []
-        self.first = 0
-
-    def append(self, key, value, now):
-        """Append a record."""
-        self.records.append(Record(key, value, len(self.records)))
-        self.times.append(now)
-
-    def end_at(self, at_s):
-        """Return the offset behind the records of a time."""
-        low, high = 0, len(self.times)
-        while low < high:
-            middle = (low + high) // 2
-            if self.times[middle] <= at_s:
-                low = middle + 1
-            else:
-                high = middle
-        return low
-
-    def newest(self, end):
-        """Return the newest record of each key before an offset."""
-        found = {}
-        for record in self.records[:end]:
-            if record.value:
-                found[record.key] = record
-            else:
-                found.pop(record.key, None)
-        return tuple(found.values())
-
-
 class FaultyRegion:
     """Nodes, the store, and what goes on between them."""
 
