--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -4,12 +4,12 @@
 import random
 
 from comfreyusher.events import note
+from comfreyusher.feeds._exchange import NEEDED, Exchange
 from comfreyusher.feeds._knowledge import PART, Knowledge
 from comfreyusher.feeds._log import log_marker
 from comfreyusher.feeds._marks import (
     Repeat,
     age_ms,
-    mark_of,
     marks_of,
     one_less,
     pages_of,
@@ -22,17 +22,16 @@
 )
 from comfreyusher.feeds._outage import Outage
 from comfreyusher.feeds._reader import backoff_s, rank_readers
-from comfreyusher.feeds._relay import first_read_s, parent_of, store_after_s
+from comfreyusher.feeds._relay import first_read_s, store_after_s
 from comfreyusher.feeds._state import (
     NEVER_S,
     Position,
     add_departures,
     apply_changes,
     apply_whole,
-    entries_of,
     release_departures,
 )
-from comfreyusher.feeds._topic import Asker, TopicState
+from comfreyusher.feeds._topic import TopicState
 from comfreyusher.flow import Subscribe, Task, Tick, change
 from comfreyusher.messages import (
     FeedChange,
@@ -55,13 +54,8 @@
 DECLARATIONS_WAIT_S = 10.0
 CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
-ASK_AGAIN_S = 0.5
-ASK_NEXT_S = 0.3
-ASK_MARKER_AFTER_S = 0.3
-ASKER_KEPT_S = 3.0
 STORE, PEER = "store", "peer"
 FOLLOWED = (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
-NEEDED = (Topic.CONFIGURATION, Topic.UPSTREAMS)
 
 
 class FeedTask(Task):
@@ -73,11 +67,12 @@
         self.pace = pace
         self.random = random.Random(own.node)
         self.topics = {topic: TopicState() for topic in FOLLOWED}
-        self.nodes = (own.node,)
-        self.near = (own.node,)
         self.rank = 0
         self.reading = False
-        self.known = Knowledge(lambda channel, body: self.tell(channel, body))
+        self.known = Knowledge(self._pass_on)
+        self.exchange = Exchange(
+            own, self.topics, self.known, self.clock, self._pass_on
+        )
         self.repeats = []
         self.marked_s = 0.0
         self.read_s = NEVER_S
@@ -90,12 +85,15 @@
             ReadFailed: self.take_failure,
             FeedMark: self.hear_mark,
             FeedChange: self.hear_change,
-            SnapshotAsked: self.give_snapshot,
+            SnapshotAsked: self.exchange.take_asker,
             SnapshotGiven: self.take_snapshot,
             ReadNow: self.read_now,
             Tick: self.on_tick,
         }
 
+    def _pass_on(self, channel, body):
+        self.tell(channel, body)
+
     def prepare(self):
         """Subscribe to the tick."""
         self.started_s = self.clock()
@@ -103,11 +101,14 @@
 
     def see_region(self, seen):
         """Learn who else could read, and whom to ask."""
-        self.nodes = rank_readers(self.own.region, seen.nodes)
-        self.near = rank_readers(self.own.data_centre, seen.near)
-        known = self.own.node in self.nodes
-        self.rank = self.nodes.index(self.own.node) if known else len(self.nodes)
-        self._ask_for_missing(self.clock())
+        self.exchange.nodes = rank_readers(self.own.region, seen.nodes)
+        self.exchange.near = rank_readers(self.own.data_centre, seen.near)
+        self.rank = self._rank_of(self.own.node)
+        self.exchange.ask_for_missing(self.clock())
+
+    def _rank_of(self, node):
+        nodes = self.exchange.nodes
+        return nodes.index(node) if node in nodes else len(nodes)
 
     # Calls -------------------------------------------------------------------
 
@@ -187,8 +188,8 @@
         state.calling = False
         state.next_s = now if behind else self._next_s(topic, state)
         if end < state.wanted:
-            self._ask_node(state.marker, topic)  # the store's answer was an old one
-        self._answer_askers(topic)
+            self.exchange.ask(state.marker, topic)  # the store's answer was an old one
+        self.exchange.answer(topic)
         if self.reading and (changed or topic is Topic.UPSTREAMS):
             self._send_marks(now)
 
@@ -209,7 +210,7 @@
             return
         state.failed_s = now
         if state.behind:
-            self._ask_node(state.marker, failed.topic)
+            self.exchange.ask(state.marker, failed.topic)
         self._back_off(state)
 
     def _back_off(self, state):
@@ -262,7 +263,7 @@
         read_age_ms = age_ms(self.read_s, now)
         marks = marks_of(self.topics, now)
         messages.append(FeedMark(self.own.node, marks, read_age_ms))
-        for node in self.nodes:
+        for node in self.exchange.nodes:
             if node != self.own.node:
                 for body in messages:
                     self.tell("datagrams", ToNode(node, body))
@@ -270,8 +271,7 @@
     def hear_mark(self, mark):
         """Take a reader's positions; read what this node lacks."""
         now = self.clock()
-        known = mark.node in self.nodes
-        rank = self.nodes.index(mark.node) if known else len(self.nodes)
+        rank = self._rank_of(mark.node)
         for one in mark.topics:
             state = self.topics.get(Topic(one.topic))
             if state is not None:
@@ -321,11 +321,9 @@
         state.next_s = min(state.next_s, state.store_s)
         if state.calling or not self._is_relayed(topic, state):
             return
-        parent = self._parent(state)
-        if not parent:
+        if not self.exchange.ask_parent(topic):
             return
-        self._ask_node(parent, topic)
-        is_head = self.near[:1] == (self.own.node,)
+        is_head = self.exchange.is_head
         wait_s = store_after_s(self.pace.apply_s, is_head, self.random.random())
         state.store_s = now + wait_s
 
@@ -336,10 +334,6 @@
         """
         return topic is not Topic.UPSTREAMS or not state.position.known
 
-    def _parent(self, state):
-        reader = state.marker or self.nodes[0]
-        return parent_of(self.own.node, self.near, reader)
-
     def hear_change(self, heard):
         """Take changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
@@ -360,55 +354,10 @@
             end=max(state.position.end, heard.changed),
             changed=max(state.position.changed, heard.changed),
         )
-        self._answer_askers(Topic.UPSTREAMS)
+        self.exchange.answer(Topic.UPSTREAMS)
 
     # Snapshots -------------------------------------------------------------------
 
-    def _ask_for_missing(self, now):
-        """Ask for what was never known: the parent first, then anyone."""
-        for topic in NEEDED:
-            state = self.topics[topic]
-            if not state.fresh or now - state.asked_s < ASK_AGAIN_S:
-                continue
-            others = [node for node in self.nodes if node != self.own.node]
-            parent = self._parent(state)
-            if others and (state.asked_s or not parent):
-                parent = self.random.choice(others)
-            if parent:
-                self._ask_node(parent, topic)
-
-    def _ask_node(self, node, topic):
-        """Ask a node for what it knows of a topic beyond this node."""
-        state = self.topics[topic]
-        state.asked, state.asked_s = node, self.clock()
-        end = state.position.end if state.position.known else -1
-        self.tell("peers", ToNode(node, SnapshotAsked(self.own.node, topic.value, end)))
-
-    def give_snapshot(self, asked):
-        """Send what this node knows, or note who waits for it."""
-        if not asked.topic:
-            for topic in FOLLOWED:
-                if self.topics[topic].position.known:
-                    self._give(topic, asked.asker)
-            return
-        topic = Topic(asked.topic)
-        state = self.topics[topic]
-        state.askers[asked.asker] = Asker(asked.end, self.clock() + ASKER_KEPT_S)
-        self._answer_askers(topic)
-
-    def _answer_askers(self, topic):
-        for asker in self.topics[topic].take_ready_askers(self.clock()):
-            self._give(topic, asker)
-
-    def _give(self, topic, asker):
-        now = self.clock()
-        mark = mark_of(topic, self.topics[topic].position, now)
-        upstreams = ()
-        if topic is Topic.UPSTREAMS:
-            upstreams = entries_of(self.known.listing, now)
-        given = SnapshotGiven(mark, self.known.pack(topic), upstreams)
-        self.tell("peers", ToNode(asker, given))
-
     def take_snapshot(self, given):
         """Take what another node knows of a topic, if this node knows less."""
         topic = Topic(given.mark.topic)
@@ -437,7 +386,7 @@
         else:
             read = NewestRead(topic, mark.end, records)
             self._apply(read, mark.end, whole=True, source=PEER)
-        self._answer_askers(topic)
+        self.exchange.answer(topic)
         state.behind = state.wanted > mark.end
         if state.behind:
             self._begin_catching_up(topic, state, now)
@@ -449,7 +398,7 @@
         now = tick.now_s
         due = release_departures(self.known.listing, now)
         self.known.take_listing(due, STORE)
-        self._ask_for_missing(now)
+        self.exchange.ask_for_missing(now)
         stale_s = now - self._last_confirmed_s()
         if not self.reading and stale_s > self.pace.stale_s(self.rank):
             self.reading = True
@@ -458,23 +407,10 @@
             if not state.calling and now >= state.next_s:
                 self._read_if_needed(topic, state, now)
             elif state.calling and state.behind:
-                self._ask_if_slow(topic, state, now)
+                self.exchange.ask_if_slow(topic, now)
         if self.reading and now - self.marked_s >= 2 * self.pace.follow_s:
             self._send_marks(now)
 
-    def _ask_if_slow(self, topic, state, now):
-        """Ask the reader once for what the store takes long to give."""
-        if state.asked_s < state.called_s <= now - ASK_MARKER_AFTER_S:
-            self._ask_node(state.marker, topic)
-
-    def _ask_next(self, topic, state, now):
-        """Ask the parent of a node that gave nothing, up to the reader."""
-        if not state.asked or now - state.asked_s < ASK_NEXT_S:
-            return
-        above = parent_of(state.asked, self.near, state.marker)
-        if above and above not in (state.asked, self.own.node):
-            self._ask_node(above, topic)
-
     def _read_if_needed(self, topic, state, now):
         """Read the store as a reader, or after nobody else gave what is missing."""
         if topic in NEEDED and state.fresh:
@@ -490,6 +426,6 @@
         elif state.behind and now >= state.store_s:
             self._call(topic)
         elif state.behind and self._is_relayed(topic, state):
-            self._ask_next(topic, state, now)
+            self.exchange.ask_next(topic, now)
         elif topic in NEEDED and not state.position.known:
             self._call(topic)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -462,14 +462,14 @@
         self.read_first()
         self.take(object)
         asked = SnapshotAsked("vm-9.1", Topic.CONFIGURATION.value, 1)
-        self.task.give_snapshot(asked)
+        self.task.exchange.take_asker(asked)
         self.assertEqual(self.take(SnapshotGiven), [])
         newer = pack_record(configuration(7, 1))
         mark = TopicMark(Topic.CONFIGURATION.value, 2, 2, 0)
         self.task.take_snapshot(SnapshotGiven(mark, (newer,)))
         (given,) = self.take(SnapshotGiven)
         self.assertEqual(given.records, (newer,))
-        self.task.give_snapshot(asked)
+        self.task.exchange.take_asker(asked)
         self.assertEqual(len(self.take(SnapshotGiven)), 1)
 
     def test_unreadable_snapshots_change_nothing(self):
@@ -687,7 +687,7 @@
     def test_what_a_node_gives_another_can_take(self):
         self.read_first(entry("a"))
         self.take(object)
-        self.task.give_snapshot(SnapshotAsked("vm-9.1"))
+        self.task.exchange.take_asker(SnapshotAsked("vm-9.1"))
         given = self.take(SnapshotGiven)
         fresh = FollowerTests("test_a_better_reader_ends_the_reading")
         fresh.setUp()
@@ -732,7 +732,7 @@
     def test_a_snapshot_tells_what_is_held_back(self):
         self.hold_back_a_removal()
         self.take(object)
-        self.task.give_snapshot(SnapshotAsked("vm-9.1", Topic.UPSTREAMS.value))
+        self.task.exchange.take_asker(SnapshotAsked("vm-9.1", Topic.UPSTREAMS.value))
         (given,) = self.take(SnapshotGiven)
         fresh = FollowerTests("test_a_better_reader_ends_the_reading")
         fresh.setUp()
