--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -33,6 +33,7 @@
 OWNER = "tests.test_owner_properties"
 ENTRY = "tests.test_entry"
 FEEDS = "tests.test_feeds"
+CLIENT = "tests.test_http_client"
 FAILING = "tests.test_pattern_failing_for_seconds"
 CREST = "tests.test_pattern_crest"
 REGION = "tests.test_pattern_region_failing"
@@ -201,10 +202,82 @@
         "lapsed entries count as gone at once",
         "outage",
         "comfreyusher/feeds/_outage.py",
-        "        return due_s if back_s and due_s > now else AT_ONCE_S",
+        "        return due_s if due_s > now else AT_ONCE_S",
         "        return AT_ONCE_S",
         FEEDS,
     ),
+    Mutation(
+        "a removal that is held back is told to nobody",
+        "leaving",
+        "comfreyusher/feeds/_state.py",
+        "    return change(listing, departures=departures), Effect.LATER",
+        "    return change(listing, departures=departures), Effect.NONE",
+        FEEDS,
+    ),
+    Mutation(
+        "an offset that has expired is tried again after a snapshot",
+        "configuration",
+        "comfreyusher/feeds/_topic.py",
+        "        return self.position.known and not self.expired",
+        "        return self.position.known",
+        FEEDS,
+    ),
+    Mutation(
+        "newest records are told as a change",
+        "leaving",
+        "comfreyusher/feeds/_task.py",
+        "        if not whole:",
+        "        if True:",
+        FEEDS,
+    ),
+    Mutation(
+        "a reader that the store refuses ends the reading of others",
+        "configuration",
+        "comfreyusher/feeds/_task.py",
+        "            if mark.read_age_ms / 1000 < self.pace.stale_s(rank):",
+        "            if True:",
+        FEEDS,
+    ),
+    Mutation(
+        "a grant of an upstream that has left is used",
+        "leaving",
+        "comfreyusher/entry/_attempts.py",
+        "    if grant.upstream in state.departed:",
+        "    if False:",
+        ENTRY,
+    ),
+    Mutation(
+        "a refusal without an id is believed on a used connection",
+        "honesty",
+        "comfreyusher/http/_client.py",
+        "            return Origin.UNKNOWN if state.used else Origin.OWN",
+        "            return Origin.OWN",
+        CLIENT,
+    ),
+    Mutation(
+        "a refused request returns to its connection",
+        "honesty",
+        "comfreyusher/http/_client.py",
+        "            elif start.reply_id and start.reply_id in state.failed_ids:",
+        "            elif False:",
+        CLIENT,
+    ),
+    Mutation(
+        "a head without an end is read for ever",
+        "memory",
+        "comfreyusher/http/_parse.py",
+        "        if self.fruitless_bytes > MAX_FRUITLESS_BYTES:",
+        "        if False:",
+        CLIENT,
+    ),
+    Mutation(
+        "an upstream whose entry lapsed stays out",
+        "floor",
+        "comfreyusher/owner/_state.py",
+        "        elif known.lapsed:",
+        "        elif False:",
+        OWNER,
+    ),
     Mutation(
         "an older configuration is taken",
         "configuration",
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -271,9 +271,11 @@
         mark = TopicMark(Topic.UPSTREAMS.value, 10, 10, 3000)
         upstream = ListedUpstream("a", "s", "10.0.0.9", 80, "d", 4)
         self.task.take_snapshot(SnapshotGiven(mark, (), (upstream,)))
+        self.task.take_failure(ReadFailed(Topic.UPSTREAMS, "down"))
         self.pass_time(1.5)
         calls = self.calls(Topic.UPSTREAMS)
-        self.assertEqual([type(call) for call in calls], [ReadNewest])
+        self.assertEqual({type(call) for call in calls}, {ReadNewest})
+        self.assertGreater(len(calls), 1)
 
     def test_a_store_that_is_down_is_asked_less_and_less(self):
         self.read_first()
