--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -97,8 +97,7 @@
         """Take a slot, or refuse."""
         expected = find_header(request.head, b"x-expect-instance")
         if expected not in (None, self.label):
-            head = AnswerHead(421, ((b"Content-Length", b"0"),))
-            self.tell("web", AnswerStart(request.exchange, head, b"", True))
+            self.refuse(request, 421)
             return
         refused = self.refusal()
         if refused:
@@ -106,10 +105,8 @@
             headers = (
                 (b"Request-Refused", refused.encode()),
                 (b"X-Not-Executed", b"1"),
-                (b"Content-Length", b"0"),
             )
-            head = AnswerHead(503, headers)
-            self.tell("web", AnswerStart(request.exchange, head, b"", True))
+            self.refuse(request, 503, headers)
             return
         if find_header(request.head, b"crash"):
             self.note_run(request.head)
@@ -127,6 +124,13 @@
         if request.ended:
             self.run_job(job)
 
+    def refuse(self, request, status, headers=()):
+        """Answer that the request was not run; the answer names the request."""
+        request_id = find_header(request.head, b"x-request-id") or ""
+        named = (b"X-Request-Id", request_id.encode())
+        head = AnswerHead(status, (named, (b"Content-Length", b"0"), *headers))
+        self.tell("web", AnswerStart(request.exchange, head, b"", True))
+
     def refusal(self):
         """Return why no work is taken now, or an empty text."""
         if self.faults.draining:
