--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -137,7 +137,7 @@
         self.list_upstream(name, service, place, slots)
         return upstream
 
-    def list_upstream(self, name, service, place, slots, state="ready"):
+    def list_upstream(self, name, service, place, slots, state="ready", born_ms=0):
         """Write an upstream's entry into the store."""
         value = {
             "service": service,
@@ -147,6 +147,7 @@
             "slots": slots,
             "state": state,
             "warmup_left": "0ms",
+            "born": born_ms,
             "seq": 1,
         }
         self.write_entry(UPSTREAM_TOPIC, name, value)
