--- a/extras/capacity/run.py
+++ b/extras/capacity/run.py
@@ -35,7 +35,7 @@
 APPEND_BUDGET_PER_S = 200
 WATCHES_PER_S = 10
 MARKS_PER_S = 2
-CHANGE_COPIES = 2
+CHANGE_COPIES = 3
 KEPT_BYTES = 400_000_000
 
 
@@ -95,7 +95,8 @@
     others = NODES / REGIONS - 1
     told = others * MARKS_PER_S * mark
     told += VM_CHANGES_PER_DAY / DAY_S * change * CHANGE_COPIES * others
-    reads = CHANGES_PER_DAY / DAY_S * NODES
+    reads = CHANGES_PER_DAY / DAY_S * REGIONS
+    handed = CHANGES_PER_DAY / DAY_S * slopes["configuration as it travels"].at(ROUTES)
     start_s = slopes["declarations of a fresh node"].at(CUSTOMERS)
     return [
         row(
@@ -136,7 +137,15 @@
             reads,
             "calls/s",
             2000,
-            "each node reads once a change",
+            "the reader of each region; nodes hand it on",
+        ),
+        row(
+            "every node",
+            "configuration from its parent",
+            handed,
+            "B/s",
+            LIMIT_BYTES_PER_S,
+            "the whole document, compressed, along a tree of each data centre",
         ),
         row(
             "fresh node", "processor for declarations", start_s, "s", 0, "fast decoder"
@@ -331,8 +340,9 @@
 - **The reader.** One node tells 1,200 others twice a second. A reader a data centre and
   relays with a fan-out of twenty, would bring it under 8 kB/s; marks could also grow
   rarer with the size of the region, up to the bound of 2.5 s.
-- **Reads of new configurations** grow with nodes times changes. They are within the
-  store's rate; a storm of changes is not. Relays would hand the records on.
+- **The configuration from node to node.** Each change moves the whole document, and a
+  node sends it to up to four others. Only what changed, against the version that the
+  asker names, would bring it under 8 kB/s.
 - **Memory.** If its row is bold: customers take over a kilobyte each. Only readers
   need whole declarations; entries need a digest and a name, some 150 bytes.
 - **Accounts.** Their bytes over the region link are the first limit outside the nodes,
--- a/extras/capacity/slopes.py
+++ b/extras/capacity/slopes.py
@@ -8,6 +8,7 @@
 import tracemalloc
 
 import immutables
+import msgspec
 
 from comfreyusher.accounts import AccountEntry, encode_account
 from comfreyusher.accounts._entry import encode_entry
@@ -23,7 +24,7 @@
     new_record,
     read_newest,
 )
-from comfreyusher.feeds import Listing, apply_changes
+from comfreyusher.feeds import Listing, apply_changes, pack_record
 from comfreyusher.flow import change
 from comfreyusher.membership import (
     GossipSettings,
@@ -50,6 +51,7 @@
 from comfreyusher.node import PlanBook, derive_plans, update_members
 from comfreyusher.owner import Clock, Member, Plan, decide, new_group
 from comfreyusher.peering._codec import encode_datagram
+from comfreyusher.platform import Record
 from comfreyusher.routing import (
     RoutingTable,
     build_table,
@@ -241,6 +243,28 @@
     return Published(1, made)
 
 
+def travelling_bytes(routes):
+    """Return the size of the operator's document as it goes from node to node."""
+    chance = random.Random(routes)
+    resources = [
+        {
+            "entry_kind": "routes",
+            "metadata": {"name": f"r-{chance.getrandbits(40):x}"},
+            "spec": {
+                "hostname": f"h{number % 100}.example",
+                "path_prefix": f"/{chance.getrandbits(40):x}/",
+                "kind": "safe",
+                "timeout": "2000ms",
+                "service": f"service-{number % 800}",
+                "max_attempts": 2,
+            },
+        }
+        for number in range(routes)
+    ]
+    value = msgspec.json.encode({"version": "00000001", "resources": resources})
+    return len(pack_record(Record("config", value, 1)).value)
+
+
 def customer_texts(customers):
     """Return records of a number of customers."""
     texts = []
@@ -326,6 +350,7 @@
             lambda n: bytes_of(lambda: publish_routes(RoutingTable(), published(n))),
         ),
         measure("configuration applied", "s", ROUTES, publish_seconds),
+        measure("configuration as it travels", "B", ROUTES, travelling_bytes),
         measure("customer lookup", "s", CUSTOMERS, customer_seconds),
         measure(
             "customers in memory",
@@ -377,7 +402,7 @@
 def listing(upstreams):
     """Return a listing of a number of upstreams."""
     entries = tuple(upstream(n) for n in range(upstreams))
-    return apply_changes(Listing(), entries).listing
+    return apply_changes(Listing(), entries, 0.0, 0.0).listing
 
 
 def feed_bytes():
