Name each upstream once in a change, so that its pages may come in any order

Cause: a reader that catches up tells what it read in pages of eight entries, with each step of an upstream: listed, leaving, gone. Datagrams are lost and sent again, so a page may come after the one that follows it; then an earlier step undid the later one, and the node counted the change as heard. Class: a message whose meaning hangs on the order of datagrams.

Now only the last entry of each upstream is told. Test, failed before: test_a_change_names_each_upstream_once.

--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -137,6 +137,11 @@
     return (*listing.upstreams.values(), *departing)
 
 
+def newest_of(entries):
+    """Return the last entry of each upstream, so that their order is of no account."""
+    return tuple({entry.name: entry for entry in entries}.values())
+
+
 def add_departures(listing, entries, now):
     """Return the entries, removals with the time after which they count."""
     return tuple(
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -29,6 +29,7 @@
     add_departures,
     apply_changes,
     apply_whole,
+    newest_of,
     release_departures,
 )
 from comfreyusher.feeds._topic import TopicState
@@ -251,7 +252,8 @@
         """Tell the region of entries that this reader read up to an offset."""
         if news and self.reading:
             base = self.topics[Topic.UPSTREAMS].position.changed
-            entries = add_departures(self.known.listing, news, self.clock())
+            newest = newest_of(news)
+            entries = add_departures(self.known.listing, newest, self.clock())
             self.repeats.append(Repeat(base, end, entries))
 
     def _waited_ms(self, topic):
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -741,6 +741,16 @@
         changed = [m.changed for m in marks if m.topic == Topic.UPSTREAMS.value]
         self.assertEqual(set(changed), {end + 1})
 
+    # Guards against pages of a change that undo each other when one comes late.
+    def test_a_change_names_each_upstream_once(self):
+        self.read_first(entry("a"), entry("b"))
+        self.task.reading = True
+        self.take(object)
+        records = (entry("a", 10, "draining"), entry("b", 11), gone("a", 12))
+        self.task.take_records(Followed(Topic.UPSTREAMS, 10, 13, 13, records))
+        told = self.take(FeedChange)[0]
+        self.assertEqual([(e.name, e.gone) for e in told.upstreams], [("a", True)])
+
     # Guards against a snapshot that forgets what is held back.
     def test_a_snapshot_tells_what_is_held_back(self):
         self.hold_back_a_removal()
