Apply a change of upstreams only once all of its pages are in

Cause: each page was applied as it came, while the position moved with the last one. A node that had applied one page of another reader's change and then read the store itself as a reader found nothing new in what that page had told, and told its region a change over the same offsets without it. Class: state that is partly ahead of the position that stands for it.

Now pages are kept by reader and applied together; what is missing is read.

--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -352,18 +352,19 @@
             return
         if heard.changed <= position.end:
             return
+        entries = state.collect_pages(heard)
+        if entries is None:
+            return
         now = self.clock()
         departs_s = self.outage.departs_s(now)
-        listing = self.known.listing
-        applied = apply_changes(listing, heard.upstreams, now, departs_s)
+        applied = apply_changes(self.known.listing, entries, now, departs_s)
         self.known.take_listing(applied, heard.node)
-        if not state.has_all_pages(heard):
-            return
         state.position = change(
-            state.position,
-            end=max(state.position.end, heard.changed),
-            changed=max(state.position.changed, heard.changed),
+            position,
+            end=heard.changed,
+            changed=max(position.changed, heard.changed),
         )
+        state.forget_pages(heard.changed)
         self.exchange.answer(Topic.UPSTREAMS)
 
     # Snapshots -------------------------------------------------------------------
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -2,16 +2,18 @@
 
 import dataclasses
 
+import immutables
+
 from comfreyusher.feeds._state import NEVER_S, Position
+from comfreyusher.flow import change
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HeardPage:
-    """A page of a change that a reader told, up to the offset ``changed``."""
+class HeardPages:
+    """Entries by page of a reader's change that ends at the offset ``changed``."""
 
-    node: str
     changed: int
-    page: int
+    entries: immutables.Map = immutables.Map()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +31,8 @@
     While this node is ``behind``, ``asked`` was asked at ``asked_s``, and the store
     is read at ``store_s``. ``expired`` tells that the store has forgotten
     what follows the position. ``askers`` are nodes that wait for this one,
-    ``pages`` those of a change that is not complete. Times are monotonic seconds.
+    ``pages`` those of changes that are not complete, by reader. Times are
+    monotonic seconds.
     """
 
     def __init__(self):
@@ -48,7 +51,7 @@
         self.asked_s = 0.0
         self.store_s = 0.0
         self.askers = {}
-        self.pages = frozenset()
+        self.pages = {}
 
     @property
     def fresh(self):
@@ -74,14 +77,29 @@
         }
         return ready
 
-    def has_all_pages(self, heard):
-        """Note a page of a change; tell whether all pages of it are in."""
+    def collect_pages(self, heard):
+        """Return all entries of a change, or ``None`` while pages are missing.
+
+        A part of a change must not be applied: what is known would then no
+        longer be what the position says.
+        """
         if heard.pages == 1:
-            return True
-        known = frozenset(one for one in self.pages if one.changed == heard.changed)
-        self.pages = known | {HeardPage(heard.node, heard.changed, heard.page)}
-        of_node = [one for one in self.pages if one.node == heard.node]
-        return len(of_node) == heard.pages
+            return heard.upstreams
+        known = self.pages.get(heard.node)
+        if known is None or known.changed != heard.changed:
+            known = HeardPages(heard.changed)
+        known = change(known, entries=known.entries.set(heard.page, heard.upstreams))
+        self.pages[heard.node] = known
+        if len(known.entries) < heard.pages:
+            return None
+        pages = (known.entries[page] for page in sorted(known.entries))
+        return tuple(entry for page in pages for entry in page)
+
+    def forget_pages(self, end):
+        """Forget pages of changes that are known by now."""
+        self.pages = {
+            node: known for node, known in self.pages.items() if known.changed > end
+        }
 
 
 def keep_newest(kept, records):
--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -434,13 +434,14 @@
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--nodes", type=int, default=12)
+    parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--more", action="store_true", help="more kinds of faults")
     options = parser.parse_args()
     logging.set_verbosity(logging.ERROR)
     kinds = MORE_KINDS if options.more else FAULT_KINDS
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
-        region = play(seed, kinds, options.nodes)
+        region = play(seed, kinds, options.nodes, options.upstreams)
         if region.findings:
             broken += 1
             first = region.findings[0]
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -751,6 +751,19 @@
         told = self.take(FeedChange)[0]
         self.assertEqual([(e.name, e.gone) for e in told.upstreams], [("a", True)])
 
+    # Guards against telling on only a part of what another reader told in pages.
+    def test_a_reader_tells_all_that_it_reads_after_a_page_of_another_reader(self):
+        self.read_first(entry("a"), entry("b"))
+        self.task.reading = True
+        removal = ListedUpstream("a", gone=True)
+        self.task.hear_change(FeedChange(ORDER[1], 10, 14, (removal,), 0, 2))
+        self.take(object)
+        records = (gone("a", 10), entry("b", 11, "draining"))
+        self.task.take_records(Followed(Topic.UPSTREAMS, 10, 12, 12, records))
+        told = self.take(FeedChange)[0]
+        names = sorted((e.name, e.gone) for e in told.upstreams)
+        self.assertEqual(names, [("a", True), ("b", False)])
+
     # Guards against a snapshot that forgets what is held back.
     def test_a_snapshot_tells_what_is_held_back(self):
         self.hold_back_a_removal()
--- a/tests/test_pattern_faulty_region.py
+++ b/tests/test_pattern_faulty_region.py
@@ -18,6 +18,7 @@
 FORGOTTEN_HISTORY = (5042,)
 FRESH_READER = (20074,)
 ONE_TOPIC_WAITS = (101029,)
+MANY_UPSTREAMS = (400706, 401078)
 
 
 class FaultyRegionTests(unittest.TestCase):
@@ -47,6 +48,13 @@
     def test_a_node_that_the_store_answers_again_reads_all_topics(self):
         self.check(ONE_TOPIC_WAITS, MORE_KINDS)
 
+    # Guards against a reader that tells on only what one page of another left out.
+    def test_large_changes_are_told_whole_by_every_reader(self):
+        for seed in MANY_UPSTREAMS:
+            with self.subTest(seed=seed):
+                region = play(seed, MORE_KINDS, nodes=10, upstreams=40)
+                self.assertEqual(region.findings[:3], [])
+
     # Guards against any change that a sound node hears of too late.
     def test_sound_nodes_know_every_change_in_time(self):
         self.check(FRESH_SEEDS)
