--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -393,6 +393,28 @@
                 what = f"has version {known}, not {due[-1]}"
                 self.findings.append(Finding(self.now, node, what))
 
+    def check_listings(self):
+        """Find nodes whose listing is not what the store had at their position."""
+        log = self.logs[Topic.UPSTREAMS]
+        for node, task in self.tasks.items():
+            position = task.topics[Topic.UPSTREAMS].position
+            if not position.known:
+                continue
+            expected = {
+                record.key: json.loads(record.value)["state"] == "draining"
+                for record in log.newest(position.end)
+            }
+            listing = task.known.listing
+            listed = {
+                name: entry.leaving
+                for name, entry in listing.upstreams.items()
+                if name not in listing.departures
+            }
+            if listed != expected:
+                differ = sorted(set(listed.items()) ^ set(expected.items()))
+                what = f"at {position.end} differs from the store in {differ[:3]}"
+                self.findings.append(Finding(self.now, node, what))
+
 
 def play(seed, kinds=FAULT_KINDS, nodes=12, upstreams=12):
     """Return the region after a run with the faults of a seed."""
@@ -410,6 +432,7 @@
         region.at(fault.begin_s, lambda f=fault: region.begin_fault(f))
     _draw_changes(region, chance)
     region.every(CALM_FROM_S, 0.25, region.check_versions)
+    region.every(CALM_FROM_S, 1.0, region.check_listings)
     region.run(LENGTH_S)
     return region
 
