Forget by time in one function, and drop what the feeds need not say

The loop that drops names whose time is over stood in the entry, was written again for departed upstreams, and stood in the owner's reports: now flow.keep_since. In the feeds went a reset that _end_back_off has done by then, a maximum whose second part always wins, and a condition in two steps; two doc comments said what was true once.

--- a/comfreyusher/entry/_owners.py
+++ b/comfreyusher/entry/_owners.py
@@ -5,7 +5,7 @@
 import immutables
 
 from comfreyusher.entry._state import Phase
-from comfreyusher.flow import change
+from comfreyusher.flow import change, keep_since
 
 ASK_WAIT_S = 0.05
 ASK_WAIT_FAR_S = 0.15
@@ -37,20 +37,12 @@
 
 def forget_old(state):
     """Return the state without memories whose time is over."""
-    silent = _later(state.silent_owners, state.now_s)
-    avoided = _later(state.avoided, state.now_s)
-    heard = _later(state.heard, state.awake_s - BUSY_OWNER_S)
+    silent = keep_since(state.silent_owners, state.now_s)
+    avoided = keep_since(state.avoided, state.now_s)
+    heard = keep_since(state.heard, state.awake_s - BUSY_OWNER_S)
     return change(state, silent_owners=silent, avoided=avoided, heard=heard)
 
 
-def _later(times, now):
-    """Return the entries of a map of names to seconds that are not past."""
-    for name, at_s in times.items():
-        if at_s < now:
-            times = times.delete(name)
-    return times
-
-
 def is_busy(state, owner):
     """Tell whether an owner answers, though not everything at once."""
     heard_s = state.heard.get(owner)
--- a/comfreyusher/feeds/_knowledge.py
+++ b/comfreyusher/feeds/_knowledge.py
@@ -25,8 +25,8 @@
 class Knowledge:
     """The listing, the configuration, and the newest records for other nodes.
 
-    ``tell`` takes a channel and a message. Methods that take something return
-    whether it changed anything; a ``source`` names who gave it, for the log.
+    ``tell`` takes a channel and a message. A ``source`` names who gave something,
+    for the log.
     """
 
     def __init__(self, tell):
@@ -62,7 +62,8 @@
     def take_records(self, topic, read, whole, source, waited_ms):
         """Take records of the operator's configuration, or of declarations.
 
-        ``waited_ms`` is how long this node has known of newer ones.
+        Return whether they changed anything. ``waited_ms`` is how long this node has
+        known of newer ones.
         """
         keep_newest(self.kept[topic], read.records)
         if topic is Topic.CONFIGURATION:
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -181,7 +181,6 @@
         if first and topic is Topic.UPSTREAMS:
             self.tell("node", UpstreamsChanged(self.known.listing.upstreams, ()))
         self._end_back_off(now)
-        state.failures = 0
         state.expired = False
         state.behind = behind
         if topic is Topic.UPSTREAMS:
@@ -204,13 +203,12 @@
         """Try again later, from the newest records if the offset is too old."""
         state = self.topics[failed.topic]
         state.calling = False
-        now = self.clock()
         if failed.expired:
             state.expired = True
             state.position = change(state.position, known=False)
             self._call(failed.topic)
             return
-        state.failed_s = now
+        state.failed_s = self.clock()
         if state.behind:
             self.exchange.ask(state.marker, failed.topic)
         self._back_off(state)
@@ -348,9 +346,7 @@
         """Take changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
         position = state.position
-        if not position.known or position.end < heard.base:
-            return
-        if heard.changed <= position.end:
+        if not position.known or not heard.base <= position.end < heard.changed:
             return
         entries = state.collect_pages(heard)
         if entries is None:
@@ -359,11 +355,7 @@
         departs_s = self.outage.departs_s(now)
         applied = apply_changes(self.known.listing, entries, now, departs_s)
         self.known.take_listing(applied, heard.node)
-        state.position = change(
-            position,
-            end=heard.changed,
-            changed=max(position.changed, heard.changed),
-        )
+        state.position = change(position, end=heard.changed, changed=heard.changed)
         state.forget_pages(heard.changed)
         self.exchange.answer(Topic.UPSTREAMS)
 
--- a/comfreyusher/flow/__init__.py
+++ b/comfreyusher/flow/__init__.py
@@ -10,6 +10,7 @@
     bind_listener,
 )
 from comfreyusher.flow._datagrams import DatagramTask
+from comfreyusher.flow._memory import keep_since
 from comfreyusher.flow._pace import Pace, note_tick
 from comfreyusher.flow._pipe import Step, passed, pipe, stopped
 from comfreyusher.flow._poller import Poller
@@ -38,6 +39,7 @@
     "Unsubscribe",
     "bind_listener",
     "change",
+    "keep_since",
     "note_tick",
     "passed",
     "pipe",
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -5,6 +5,7 @@
 import immutables
 
 from comfreyusher.entry import GroupPlace
+from comfreyusher.flow import keep_since
 from comfreyusher.membership import score_member
 from comfreyusher.owner import Member, Plan
 from comfreyusher.routing import profile_of
@@ -54,9 +55,7 @@
 
 
 def _update_departed(departed, entries, now):
-    for name, heard_s in departed.items():
-        if now - heard_s > DEPARTED_KEPT_S:
-            departed = departed.delete(name)
+    departed = keep_since(departed, now - DEPARTED_KEPT_S)
     for entry in entries:
         if entry.gone or entry.leaving:
             departed = departed.set(entry.name, departed.get(entry.name, now))
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -1,6 +1,6 @@
 """Decisions on reports of entry nodes: what an attempt says of its upstream."""
 
-from comfreyusher.flow import change, stopped
+from comfreyusher.flow import change, keep_since, stopped
 from comfreyusher.health import (
     Standing,
     after_bad,
@@ -151,9 +151,7 @@
     """
     upstream = group.upstreams[report.upstream]
     unreached = upstream.unreached.set(report.key.node, now)
-    for node, since_s in unreached.items():
-        if now - since_s > UNREACHED_S:
-            unreached = unreached.delete(node)
+    unreached = keep_since(unreached, now - UNREACHED_S)
     group = replace_upstream(group, change(upstream, unreached=unreached))
     if len(unreached) < NODES_THAT_PROVE:
         return stopped(group, None)
