Do not wait for connections that have gone silent

Cause: a connection can go silent for good, without a reset, while new ones work. Nodes reused connections to the store that were idle for up to 30 s, and connections between nodes that were unused for up to 60 s and not pinged. A node that heard of a newer version lost its request to another node on one of them, then its read of the store on another, one after the other; the reader of a region waited for its long reads up to their timeout. Class of fault: a shared path is trusted although nothing has arrived on it for long.

Change: connections to the store are reused only within 1 s. A read without a response after 0.5 s is repeated once on a new connection, with all others that were sent on connections as old; appends are not repeated. Connections between nodes are closed once unused for 2 s, and the newest one to a node is used.

--- a/comfreyusher/peering/_task.py
+++ b/comfreyusher/peering/_task.py
@@ -1,8 +1,10 @@
 """The task that owns the connections between nodes.
 
-A connection is used in both directions. It is closed when the peer stays silent
-after a ping. Whenever the connection in use to a node closes, ``PeerDisconnected``
-tells the accounts task whether messages on it may have reached that node.
+A connection is used in both directions, the newest one if there are several. It is
+closed when the peer stays silent after a ping, and when it is unused, since an unused
+connection may have gone silent unnoticed. Whenever the connection in use to a node
+closes, ``PeerDisconnected`` tells the accounts task whether messages on it may have
+reached that node.
 """
 
 from comfreyusher.flow import StreamTask, Subscribe, Tick
@@ -36,7 +38,8 @@
 PING_AFTER_S = 0.5
 SILENCE_TIMEOUT_S = 2.0
 LATE_SWEEP_S = 0.75
-IDLE_TIMEOUT_S = 60.0
+# An unused connection may go silent unnoticed.
+IDLE_TIMEOUT_S = 2.0
 CHANNEL_BY_CLASS = {
     PeerDisconnected: "accounts",
     ReplicationRequest: "accounts",
@@ -200,7 +203,7 @@
             self.abort(number)
             return
         state.node = hello.node
-        self.number_by_node.setdefault(hello.node, number)
+        self.number_by_node[hello.node] = number
         self._finish_handshake(number, state)
 
     def _finish_handshake(self, number, state):
@@ -242,6 +245,5 @@
         elif state.ping_sent_s and now - state.ping_sent_s > SILENCE_TIMEOUT_S:
             self.abort(number)
         elif not state.ping_sent_s and now - state.last_received_s > PING_AFTER_S:
-            if unused_s < PING_AFTER_S * 4:
-                state.ping_sent_s = now
-                self.write(number, encode_message(Ping(reply_requested=True)))
+            state.ping_sent_s = now
+            self.write(number, encode_message(Ping(reply_requested=True)))
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from comfreyusher.events import log_info, log_warning
-from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe
+from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe, replace
 from comfreyusher.messages import (
     ClientRequestCancel,
     ClientRequestFailed,
@@ -43,8 +43,9 @@
 PART = "platform"
 SWEEP_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 1.5
+SILENCE_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 8 << 20
-MAX_IDLE_S = 30.0
+MAX_IDLE_S = 1.0
 CALLS_PER_S = 10.0
 BURST_CALLS = 40.0
 OK, GONE, CONFLICT, PRECONDITION_FAILED = 200, 410, 409, 412
@@ -58,24 +59,53 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """What a call sends to the store.
+
+    The store may hold its response back for ``wait_ms``. ``pages`` holds the earlier
+    pages of a ``ReadNewest``.
+    """
+
+    request: object
+    method: str
+    target: str
+    wait_ms: int = 0
+    body: bytes = b""
+    pages: tuple = ()
+
+
 class PendingCall:
-    """A call to the store and the part of its response received so far.
+    """A call that was sent, and the part of its response received so far.
 
-    ``pages`` holds the earlier pages of a ``ReadNewest``, ``due_s`` is the time
-    when the call times out.
+    The call times out at ``due_s``. A response should have started by
+    ``silent_due_s``. ``may_reuse`` tells whether the call may have been sent on a
+    connection that was idle before.
     """
 
-    def __init__(self, request, due_s, pages=()):
-        self.request = request
-        self.due_s = due_s
-        self.pages = pages
+    def __init__(self, call, now, may_reuse):
+        wait_s = call.wait_ms / 1000
+        self.call = call
+        self.may_reuse = may_reuse
+        self.due_s = now + CALL_TIMEOUT_S + wait_s
+        self.silent_due_s = now + SILENCE_TIMEOUT_S + wait_s
         self.status = 0
         self.size_bytes = 0
         self.chunks = []
 
+    @property
+    def is_repeatable(self):
+        """Whether a repetition on a new connection is harmless and may help."""
+        is_read = not isinstance(self.call.request, Append)
+        return is_read and self.may_reuse and not self.status
+
 
 class PlatformTask(Task):
-    """Runs appends and reads; a token bucket limits the calls per second."""
+    """Runs appends and reads; a token bucket limits the calls per second.
+
+    A connection can go silent without a reset, so that only a missing response
+    shows it. Calls use new connections from then until the store responds again.
+    """
 
     def __init__(self, host, port, **kwargs):
         super().__init__(CHANNEL, **kwargs)
@@ -84,6 +114,7 @@
         self.calls = {}
         self.call_numbers = itertools.count(1)
         self.reachable = True
+        self.may_reuse = True
         self.tokens = BURST_CALLS
         self.refilled_s = self.clock()
         self.last_sweep_s = self.clock()
@@ -103,13 +134,14 @@
 
     def handle_append(self, request):
         """Send an append."""
-        self._call(
-            request, "POST", build_append_target(request), 0, build_append_body(request)
-        )
+        target = build_append_target(request)
+        body = build_append_body(request)
+        self._call(Call(request, "POST", target, body=body))
 
     def handle_read_records(self, request):
         """Send a read of the records from an offset on."""
-        self._call(request, "GET", build_read_target(request), request.wait_ms)
+        target = build_read_target(request)
+        self._call(Call(request, "GET", target, request.wait_ms))
 
     def handle_read_newest(self, request, after_key="", pages=()):
         """Send a read of a page of newest records.
@@ -118,21 +150,25 @@
         ``pages`` come from the earlier ones.
         """
         target = build_newest_target(request.topic, after_key or request.after_key)
-        self._call(request, "GET", target, 0, pages=pages)
+        self._call(Call(request, "GET", target, pages=pages))
 
-    def _call(self, request, method, target, wait_ms, body=b"", pages=()):
+    def _call(self, call):
         if not self._take_token():
-            self._fail(request, "over the budget of calls", definite=True)
+            self._fail(call.request, "over the budget of calls", definite=True)
             return
+        self._send(PendingCall(call, self.clock(), self.may_reuse))
+
+    def _send(self, pending):
         self.call_count += 1
         key = CallKey(next(self.call_numbers))
-        due_s = self.clock() + CALL_TIMEOUT_S + wait_ms / 1000
-        self.calls[key] = PendingCall(request, due_s, pages)
+        self.calls[key] = pending
         self._start_sweeps()
+        call = pending.call
         headers = ((b"Host", f"{self.host}:{self.port}".encode()),)
-        head = RequestHead(method, target, headers)
+        head = RequestHead(call.method, call.target, headers)
+        max_idle_s = MAX_IDLE_S if pending.may_reuse else 0.0
         start = ClientRequestStart(
-            key, self.host, self.port, head, body, max_idle_s=MAX_IDLE_S
+            key, self.host, self.port, head, call.body, max_idle_s=max_idle_s
         )
         self.send_message(HTTP_CHANNEL, start)
 
@@ -156,51 +192,53 @@
 
     def handle_response_start(self, response):
         """Handle the head of a response, and any body that comes with it."""
-        call = self.calls.get(response.exchange)
-        if call is not None:
-            call.status = response.head.status
-            self._add_chunk(response, call)
+        pending = self.calls.get(response.exchange)
+        if pending is not None:
+            self.may_reuse = True
+            pending.status = response.head.status
+            self._add_chunk(response, pending)
 
     def handle_response_body(self, response):
         """Handle more of the body of a response."""
-        call = self.calls.get(response.exchange)
-        if call is not None:
-            self._add_chunk(response, call)
-
-    def _add_chunk(self, response, call):
-        call.chunks.append(response.body)
-        call.size_bytes += len(response.body)
-        if call.size_bytes > MAX_RESPONSE_BYTES:
+        pending = self.calls.get(response.exchange)
+        if pending is not None:
+            self._add_chunk(response, pending)
+
+    def _add_chunk(self, response, pending):
+        pending.chunks.append(response.body)
+        pending.size_bytes += len(response.body)
+        if pending.size_bytes > MAX_RESPONSE_BYTES:
             del self.calls[response.exchange]
             if not response.ended:
                 self.send_message(HTTP_CHANNEL, ClientRequestCancel(response.exchange))
-            self._fail(call.request, f"an answer over {MAX_RESPONSE_BYTES} bytes")
+            reason = f"an answer over {MAX_RESPONSE_BYTES} bytes"
+            self._fail(pending.call.request, reason)
             return
         if not response.ended:
             credit = ClientResponseCredit(response.exchange, len(response.body))
             self.send_message(HTTP_CHANNEL, credit)
             return
         del self.calls[response.exchange]
-        self._finish_call(call, b"".join(call.chunks))
+        self._finish_call(pending, b"".join(pending.chunks))
 
-    def _finish_call(self, call, body):
-        request = call.request
-        if call.status == GONE:
+    def _finish_call(self, pending, body):
+        request, status = pending.call.request, pending.status
+        if status == GONE:
             self._send_expired(request, body)
             return
-        if call.status in (CONFLICT, PRECONDITION_FAILED):
+        if status in (CONFLICT, PRECONDITION_FAILED):
             self._set_reachable(True)
             reason = "the topic has moved on"
             self.send_message(
                 request.channel, AppendFailed(request.token, reason, True)
             )
             return
-        if call.status != OK:
-            definite = call.status in DEFINITE_FAILURE_STATUSES
-            self._fail(request, f"the store answered {call.status}", definite)
+        if status != OK:
+            definite = status in DEFINITE_FAILURE_STATUSES
+            self._fail(request, f"the store answered {status}", definite)
             return
         try:
-            self._send_result(call, body)
+            self._send_result(pending.call, body)
         except (DecodeError, msgspec.MsgspecError) as error:
             self._fail(request, str(error))
             return
@@ -248,9 +286,10 @@
 
     def handle_request_failed(self, failure):
         """Handle a call that failed without a complete response."""
-        call = self.calls.pop(failure.exchange, None)
-        if call is not None:
-            self._fail(call.request, failure.reason, definite=not failure.sent)
+        pending = self.calls.pop(failure.exchange, None)
+        if pending is not None:
+            request = pending.call.request
+            self._fail(request, failure.reason, definite=not failure.sent)
 
     def _fail(self, request, reason, definite=False):
         self._set_reachable(False, reason)
@@ -271,19 +310,50 @@
             log_warning(PART, "store lost", reason=reason)
 
     def handle_tick(self, tick):
-        """Time out calls.
+        """Time out calls, and repeat reads on connections that may be silent.
 
         A sweep that is late moves all deadlines by its delay, since responses may
         have arrived that this node was too busy to read.
         """
         late_s = max(0.0, tick.now_s - self.last_sweep_s - 2 * SWEEP_PERIOD_S)
         self.last_sweep_s = tick.now_s
-        for key, call in list(self.calls.items()):
-            call.due_s += late_s
-            if tick.now_s > call.due_s:
-                del self.calls[key]
-                self.send_message(HTTP_CHANNEL, ClientRequestCancel(key))
-                self._fail(call.request, "no answer in time")
+        for key, pending in list(self.calls.items()):
+            pending.due_s += late_s
+            pending.silent_due_s += late_s
+            if tick.now_s > pending.due_s:
+                self._cancel(key)
+                self._fail(pending.call.request, "no answer in time")
+        if any(self._is_silent(pending, tick.now_s) for pending in self.calls.values()):
+            self._repeat_reads()
         if not self.calls:
             self.sweeping = False
             self.send_message("timers", Unsubscribe(CHANNEL, "sweep"))
+
+    def _is_silent(self, pending, now):
+        return pending.is_repeatable and now > pending.silent_due_s
+
+    def _repeat_reads(self):
+        """Repeat all reads without a response on new connections.
+
+        Whatever silenced one connection may have silenced all that are as old.
+        """
+        self.may_reuse = False
+        repeated = [key for key, call in self.calls.items() if call.is_repeatable]
+        log_info(PART, "connections silent", repeated=len(repeated))
+        for key in repeated:
+            pending = self._cancel(key)
+            pending.may_reuse = False
+            pending.call = _without_wait(pending.call)
+            self._send(pending)
+
+    def _cancel(self, key):
+        self.send_message(HTTP_CHANNEL, ClientRequestCancel(key))
+        return self.calls.pop(key)
+
+
+def _without_wait(call):
+    """Return a read that the store responds to at once."""
+    if not isinstance(call.request, ReadRecords):
+        return call
+    target = build_read_target(replace(call.request, wait_ms=0))
+    return replace(call, target=target, wait_ms=0)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 ``silent`` or ``busy``), ``delay_ms`` (of every response), ``lose_answers``
 (number of appends that take effect without a response), ``late_ms`` (delay
 until these appends take effect), ``garble`` (responses that cannot be parsed).
+``POST /silence`` silences every open connection for good; new ones work.
 ``POST /entries`` writes an entry as the operator or an upstream would, and
 ``POST /compact`` drops all records but the newest of each key.
 """
@@ -104,6 +105,7 @@
         self.delayed_calls = []
         self.partial_requests = {}
         self.calls = 0
+        self.silent_connections = set()
         self.message_handlers = {
             RequestStart: self.handle_request_start,
             RequestBody: self.handle_request_body,
@@ -115,6 +117,14 @@
         """Subscribe to the ticks that run delayed calls and end pending reads."""
         self.send_message("timers", Subscribe(CHANNEL, "tick", 0.02))
 
+    def send_message(self, channel, body):
+        """Send a message, unless it is a response on a silent connection."""
+        if channel == "web":
+            number = self.http_server.number_by_exchange.get(body.exchange)
+            if number in self.silent_connections:
+                return
+        super().send_message(channel, body)
+
     def handle_request_start(self, request):
         """Start to collect a request."""
         self.partial_requests[request.exchange] = PartialRequest(
@@ -144,7 +154,7 @@
         """Respond to a complete request, subject to the faults that are set."""
         partial = self.partial_requests.pop(exchange)
         path, _, query = partial.head.target.partition("?")
-        if path in ("/control", "/entries", "/compact", "/state"):
+        if path in ("/control", "/entries", "/compact", "/silence", "/state"):
             self.respond_to_control(exchange, path, partial.body)
             return
         self.calls += 1
@@ -293,6 +303,9 @@
         elif path == "/compact":
             for topic in self.topics.values():
                 topic.compact()
+        elif path == "/silence":
+            own = self.http_server.number_by_exchange[exchange]
+            self.silent_connections = set(self.http_server.states) - {own}
         self.respond_with_json(
             exchange, {"calls": self.calls, "topics": sorted(self.topics)}
         )
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -36,3 +36,8 @@
     Then node vm-1 serves lookups within 20 s
     And node vm-3 serves lookups within 20 s
     And no node ever went back to an earlier offset
+
+  # Guards against reads that wait for their timeout on a dead connection.
+  Scenario: open connections to the log go silent without a reset
+    Given a fleet of 4 nodes before 1 upstreams
+    Then versions that follow silenced connections to the log are in force within 2.5 s
--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -25,6 +25,7 @@
     SLOTS,
     build_headers,
 )
+from standins.documents import build_configuration
 from standins.fleet import UPSTREAM_TOPIC, wait_for
 
 
@@ -258,6 +259,25 @@
     context.fleet.platform.control(lose_answers=1, late_ms=1500)
 
 
+@then(
+    "versions that follow silenced connections to the log are in force within "
+    "{seconds:g} s"
+)
+def check_versions_after_silence(context, seconds):
+    fleet = context.fleet
+    for version in range(1, 5):
+        requests.post(f"{fleet.platform.url}/silence", timeout=10)
+        fleet.write_entry("keyed.op", "config", build_configuration(version, []))
+        wait_for(
+            lambda version=version: all(
+                fleet.status(node)["published_version"] == version
+                for node in fleet.nodes.values()
+            ),
+            f"version {version} on every node",
+            seconds,
+        )
+
+
 @when("the log is compacted")
 def compact_store(context):
     requests.post(f"{context.fleet.platform.url}/compact", timeout=10)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -255,13 +255,24 @@
         state.last_received_s = self.now
         state.ping_sent_s = 0.0
 
-    def test_idle_connection_is_kept_for_a_while_and_then_closed(self):
+    # Guards against a request on a connection that went silent while it was unused.
+    def test_unused_connection_is_closed_before_its_silence_goes_unnoticed(self):
         self.task.write = self.respond_to_ping
-        self.sweep(59.0, 0.25)
+        self.sweep(1.75, 0.25)
         self.assertEqual(self.aborted, [])
-        self.sweep(2.0, 0.25)
+        self.sweep(0.5, 0.25)
         self.assertEqual(set(self.aborted), {1})
 
+    # Guards against a response on an old connection that its receiver has given up.
+    def test_the_newest_connection_to_a_node_is_used(self):
+        self.task.number_by_node["vm-2.1"] = 1
+        state = PeerConnection("", self.now)
+        state.nonce = new_nonce()
+        self.task.states[2] = state
+        proof = compute_proof(b"key", state.nonce, "vm-2.1")
+        self.task._handle_hello(2, state, Hello("vm-2.1", proof))
+        self.assertEqual(self.task.number_by_node["vm-2.1"], 2)
+
 
 class DatagramTests(unittest.TestCase):
     """Which datagrams are dropped, handled locally or sent, and to which address."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -321,6 +321,45 @@
         self.assertIn(ClientRequestCancel(exchange), bodies)
         self.assertTrue(any(isinstance(body, ReadFailed) for body in bodies))
 
+    def sweep(self, seconds):
+        """Advance the time, and return the requests that the task sends meanwhile."""
+        self.sent = []
+        for _ in range(round(seconds / 0.25)):
+            self.now += 0.25
+            self.task.handle_tick(Tick("sweep", self.now))
+        return [body for _, body in self.sent if isinstance(body, ClientRequestStart)]
+
+    # Guards against a configuration that is late since a read waits for its timeout
+    # on a connection that has gone silent.
+    def test_reads_on_silent_connections_are_repeated_on_new_ones(self):
+        short = self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
+        long = self.start_call(ReadRecords("user", Topic.DECLARATIONS, 3, 10_000))
+        starts = self.sweep(0.75)
+        cancels = [b for _, b in self.sent if isinstance(b, ClientRequestCancel)]
+        self.assertEqual(
+            cancels, [ClientRequestCancel(short), ClientRequestCancel(long)]
+        )
+        self.assertEqual([start.max_idle_s for start in starts], [0.0, 0.0])
+        self.assertIn("wait_ms=0", starts[1].head.target)
+
+    # Guards against twice as many calls to a store that responds to nobody.
+    def test_a_read_on_a_new_connection_is_not_repeated(self):
+        self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
+        self.sweep(2.0)
+        self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
+        self.assertEqual(self.sweep(2.0), [])
+
+    # Guards against a record that is appended twice.
+    def test_an_append_on_a_silent_connection_is_not_repeated(self):
+        self.start_call(Append("user", "t", Topic.ACCOUNTS, "k", b"v"))
+        self.assertEqual(self.sweep(1.0), [])
+
+    # Guards against calls on connections that went silent while they were idle.
+    def test_connections_that_were_idle_for_long_are_not_used(self):
+        self.task.handle_read_newest(ReadNewest("user", Topic.UPSTREAMS))
+        (start,) = [b for _, b in self.sent if isinstance(b, ClientRequestStart)]
+        self.assertLessEqual(start.max_idle_s, 1.0)
+
     def test_an_expired_offset_is_reported_with_the_oldest_one(self):
         exchange = self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
         (result,) = self.respond(exchange, 410, b'{"first": 9}')
