Give equal requests one fingerprint, however their bodies arrive

Cause: the fingerprint held the body only if all of it arrived together with the head, and the Content-Length, which a body in chunks does not have. One request thus had several fingerprints, and its crashes were counted apart. Class of fault: an identity that depends on how the bytes arrive.

--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -1,8 +1,10 @@
 """The pipe of a new request, up to the grant request to the owner of a group."""
 
-import xxhash
-
 from comfreyusher.accounts import AccountEntry, RequestAccepted
+from comfreyusher.entry._fingerprint import (
+    compute_fingerprint,
+    parse_host,
+)
 from comfreyusher.entry._grant_requests import begin_attempt
 from comfreyusher.entry._responses import send_error
 from comfreyusher.flow import Envelope, continue_pipe, pipe, replace
@@ -109,23 +111,6 @@
     return continue_pipe(state, request)
 
 
-def compute_fingerprint(request):
-    """Return a digest that equal requests share, to detect poison requests."""
-    head = request.start.head
-    digest = xxhash.xxh3_64()
-    length = find_header(head, b"content-length") or ""
-    for part in (request.customer, head.method, parse_host(head), head.target, length):
-        digest.update(part.encode() + b"\0")
-    if request.start.ended:
-        digest.update(request.start.body)
-    return digest.hexdigest()
-
-
-def parse_host(head):
-    """Return the host name of a request, without its port."""
-    return (find_header(head, b"host") or "").partition(":")[0].lower()
-
-
 ARRIVAL_PIPE = pipe(
     require_configuration,
     identify_customer,
--- a/comfreyusher/entry/_body.py
+++ b/comfreyusher/entry/_body.py
@@ -1,5 +1,6 @@
 """Decisions on the parts of a request body that follow its head."""
 
+from comfreyusher.entry._fingerprint import compute_fingerprint, is_complete
 from comfreyusher.entry._grant_requests import live_attempts
 from comfreyusher.entry._responses import CALLERS
 from comfreyusher.entry._state import AttemptPhase
@@ -21,6 +22,7 @@
     """Buffer a part of a body up to a limit, and forward it to the upstreams."""
     size = request.buffered_bytes + len(chunk.body)
     sent = [a for a in live_attempts(request) if a.phase is AttemptPhase.SENT]
+    was_complete = is_complete(request)
     request = replace(request, body_ended=chunk.ended)
     credits = ()
     if request.body_released or (sent and size > MAX_BUFFERED_BODY_BYTES):
@@ -35,6 +37,8 @@
         Envelope(UPSTREAMS, ClientRequestBody(attempt.key, chunk.body, chunk.ended))
         for attempt in sent
     )
+    if not was_complete and request.fingerprint:
+        request = replace(request, fingerprint=compute_fingerprint(request))
     return end_pipe(state, request, *credits, *sends)
 
 
