Count crashes of a request for the whole fleet, and keep quarantines

Cause: the owner of a group counted crashes in its memory. The two groups of a service, the services that a route moves between, and each new owner counted for themselves; quarantines were forgotten with their owner. A report that reached no owner was not counted, nor was the crash of an upstream that had started again under its name. Class of fault: a promise of the fleet kept by the memory of one process.

Change: an entry node that sees a crash tells three nodes, chosen by rendezvous hashing on the fingerprint, so that the count depends on no group, owner or region. A crash is known by the upstream and its start. At the limit the holders tell every node and append the quarantine to the store, in a topic that the feeds relay like declarations, so that a fleet that starts again knows it. Entry nodes refuse such a request before they ask an owner, and do not use a grant that comes later. New nodes are told what holders know. A successful response still clears a suspect. While the store refuses calls, readers leave our own topics alone.

--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -3,11 +3,12 @@
 from comfreyusher.accounts import AccountEntry, RequestAccepted
 from comfreyusher.entry._fingerprint import (
     compute_fingerprint,
+    may_be_quarantined,
     parse_host,
 )
 from comfreyusher.entry._grant_requests import begin_attempt
 from comfreyusher.entry._responses import send_error
-from comfreyusher.flow import Envelope, continue_pipe, pipe, replace
+from comfreyusher.flow import Envelope, continue_pipe, end_pipe, pipe, replace
 from comfreyusher.messages import Outcome, find_header
 from comfreyusher.platform import parse_caller_headers
 from comfreyusher.routing import (
@@ -111,11 +112,19 @@
     return continue_pipe(state, request)
 
 
+def wait_for_body(state, request):
+    """Hold the request until its body shows whether it is quarantined."""
+    if may_be_quarantined(state, request):
+        return end_pipe(state, replace(request, held_for_body=True))
+    return continue_pipe(state, request)
+
+
 ARRIVAL_PIPE = pipe(
     require_configuration,
     identify_customer,
     find_service,
     open_account,
     set_deadline,
+    wait_for_body,
     begin_attempt,
 )
--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -1,6 +1,7 @@
 """Decisions on the messages of owners and upstreams about an attempt."""
 
 from comfreyusher.entry._body import UPSTREAMS, release_body
+from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._grant_requests import (
     LOW_RISK,
     MAX_ATTEMPTS,
@@ -27,12 +28,14 @@
     AttemptReport,
     ClientRequestCancel,
     ClientRequestStart,
+    CrashNotice,
     DenialReason,
     InterimResponse,
     Verdict,
     find_header,
 )
 from comfreyusher.platform import build_upstream_head, parse_upstream_headers
+from comfreyusher.quarantine import CrashObserved
 from comfreyusher.telemetry import SpanEnded, derive_context, format_context
 
 ENTRY = "entry"
@@ -86,15 +89,17 @@
         attempt = replace(attempt, upstream=grant.upstream)
         return _end_unreached(state, request, attempt)
     remaining_s = request.deadline_s - state.now_s
+    is_refused = remaining_s <= 0 or is_quarantined(state, request)
     attempt = replace(
         attempt,
         phase=AttemptPhase.SENT,
         upstream=grant.upstream,
         sent_s=state.now_s,
         typical_s=grant.typical_ms / 1000,
+        started_ms=grant.started_ms,
     )
     request = replace_attempt(request, attempt)
-    if remaining_s <= 0:
+    if is_refused:
         return end_attempt(state, request, attempt, Verdict.CANCELLED)
     head = build_upstream_head(
         _traced_head(request, attempt),
@@ -329,6 +334,7 @@
         verdict,
         took_ms,
         request.fingerprint,
+        attempt.started_ms,
     )
     span = _build_span(state, request, attempt)
     return Envelope(ENTRY, SendReport(attempt.owner, report, span))
@@ -360,8 +366,22 @@
         may_have_run=request.may_have_run
         or (reached_upstream and verdict not in NOT_RUN_VERDICTS),
     )
+    crash = _build_crash(request, attempt) if verdict is Verdict.CRASHED else ()
     step = _continue_request(state, request, attempt, verdict)
-    return end_pipe(step.state, step.item, report, *step.messages)
+    return end_pipe(step.state, step.item, report, *crash, *step.messages)
+
+
+def _build_crash(request, attempt):
+    """Return the message about an upstream that crashed during an attempt."""
+    profile = request.match.profile
+    notice = CrashNotice(
+        request.fingerprint,
+        attempt.upstream,
+        attempt.started_ms,
+        profile.poison_crashes,
+        profile.quarantine_ms,
+    )
+    return (Envelope("quarantine", CrashObserved(notice)),)
 
 
 def _continue_request(state, request, attempt, verdict):
--- a/comfreyusher/entry/_fingerprint.py
+++ b/comfreyusher/entry/_fingerprint.py
@@ -32,6 +32,19 @@
     return request.body_ended or request.buffered_bytes >= BODY_PREFIX_BYTES
 
 
+def is_quarantined(state, request):
+    """Tell whether the request is refused, since it crashed upstreams."""
+    return state.quarantined.get(request.fingerprint, 0.0) > state.now_s
+
+
+def may_be_quarantined(state, request):
+    """Tell whether the rest of the body may show that the request is quarantined."""
+    if is_complete(request) or not state.quarantined:
+        return False
+    head = request.fingerprint.partition(SEPARATOR)[0]
+    return any(key.partition(SEPARATOR)[0] == head for key in state.quarantined)
+
+
 def parse_host(head):
     """Return the host name of a request, without its port."""
     return (find_header(head, b"host") or "").partition(":")[0].lower()
--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -1,5 +1,6 @@
 """Grant requests: which group and owner to ask, and when to ask another."""
 
+from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._messages import SendReport
 from comfreyusher.entry._owners import CROSS_REGION_RESEND_TIMEOUT_S, is_busy
 from comfreyusher.entry._responses import send_error, send_response
@@ -11,7 +12,14 @@
 )
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.membership import rank_owners
-from comfreyusher.messages import AttemptReport, GrantRequest, Outcome, ToNode, Verdict
+from comfreyusher.messages import (
+    AttemptReport,
+    DenialReason,
+    GrantRequest,
+    Outcome,
+    ToNode,
+    Verdict,
+)
 from comfreyusher.telemetry import format_context
 
 DATAGRAMS = "datagrams"
@@ -27,7 +35,12 @@
 
 
 def begin_attempt(state, request):
-    """Ask the owner of the best group for an upstream."""
+    """Ask the owner of the best group for an upstream.
+
+    A request that is quarantined meanwhile gets no further attempt.
+    """
+    if is_quarantined(state, request):
+        return give_up(state, request, DenialReason.QUARANTINED.value)
     group = choose_group(state, request)
     if group is None:
         reason = f"no upstream of {request.match.service} is known"
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -52,7 +52,8 @@
     acknowledged this attempt. ``last_contact_s`` is when the last of them was sent
     or acknowledged, in running seconds. ``tried_owners`` are the owners of the
     group that were asked in turn, this one included. ``typical_s`` is the typical
-    time of such requests, 0 if it is not known. ``head`` and ``body_parts`` hold the
+    time of such requests, 0 if it is not known, ``started_ms`` the Unix time of the
+    upstream's start. ``head`` and ``body_parts`` hold the
     response so far.
     """
 
@@ -66,6 +67,7 @@
     upstream: str = ""
     sent_s: float = 0.0
     typical_s: float = 0.0
+    started_ms: int = 0
     head: ResponseHead | None = None
     body_parts: tuple = ()
     size_bytes: int = 0
@@ -93,7 +95,8 @@
     streamed to the caller, or 0. ``failed_responses`` holds at most one complete
     error response of an upstream, ``held_responses`` at most one response that
     waits for the replication of the account entry. ``replication_finished`` is set
-    even if no node acknowledged the replica in time.
+    even if no node acknowledged the replica in time. ``held_for_body`` tells that
+    the request waits for the part of its body that the fingerprint covers.
     """
 
     exchange: int
@@ -122,6 +125,7 @@
     accounted: bool = False
     replication_finished: bool = False
     held_responses: tuple = ()
+    held_for_body: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,7 +139,8 @@
     whether callers must send a customer's key. ``last_received_s`` maps owners to
     the running seconds of their last message of any kind,
     ``unacknowledged_attempts`` to the number of attempts that they have not
-    acknowledged at all. ``running_s`` is ``now_s`` without the time in which this
+    acknowledged at all. ``quarantined`` maps fingerprints of refused requests to the
+    end of their quarantine. ``running_s`` is ``now_s`` without the time in which this
     process was paused.
     """
 
@@ -154,6 +159,7 @@
     unacknowledged_attempts: immutables.Map = immutables.Map()
     avoided_upstreams: immutables.Map = immutables.Map()
     departed: immutables.Map = immutables.Map()
+    quarantined: immutables.Map = immutables.Map()
     spill_tokens: float = 0.0
     spill_refilled_s: float = 0.0
     now_s: float = 0.0
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -66,6 +66,7 @@
     Verdict,
 )
 from comfreyusher.platform import parse_caller_headers
+from comfreyusher.quarantine import QuarantinesChanged
 from comfreyusher.routing import RoutingTable
 from comfreyusher.telemetry import derive_context, parse_context, start_context
 
@@ -131,6 +132,7 @@
             SendReport: self.handle_send_report,
             RequestFinished: self.handle_request_finished,
             NodeView: self.handle_node_view,
+            QuarantinesChanged: self.handle_quarantines_changed,
             Tick: self.handle_tick,
         }
 
@@ -361,6 +363,10 @@
             self.starting = False
             self._start_early_requests()
 
+    def handle_quarantines_changed(self, changed):
+        """Refuse the quarantined requests from now on."""
+        self.state = replace(self.state, quarantined=changed.quarantined)
+
     def _start_ticking(self):
         if not self.ticking:
             self.ticking = True
--- a/comfreyusher/feeds/__init__.py
+++ b/comfreyusher/feeds/__init__.py
@@ -3,6 +3,7 @@
 from comfreyusher.feeds._messages import (
     ConfigurationChanged,
     DeclarationsRead,
+    QuarantinesRead,
     ReadNow,
     RegionChanged,
     UpstreamsChanged,
@@ -27,6 +28,7 @@
     "DeclarationsRead",
     "FeedTask",
     "FeedTimings",
+    "QuarantinesRead",
     "ReadNow",
     "RegionChanged",
     "UpstreamRegistry",
--- a/comfreyusher/feeds/_messages.py
+++ b/comfreyusher/feeds/_messages.py
@@ -31,6 +31,14 @@
     records: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantinesRead:
+    """Records of quarantines, and the offset after them."""
+
+    end_offset: int
+    records: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadNow:
     """Read a topic at once."""
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -7,7 +7,6 @@
 from comfreyusher.feeds._exchange import REQUIRED_TOPICS, SnapshotExchange
 from comfreyusher.feeds._log import log_reader_followed
 from comfreyusher.feeds._messages import (
-    DeclarationsRead,
     ReadNow,
     RegionChanged,
     UpstreamsChanged,
@@ -52,11 +51,12 @@
 
 CHANNEL = "feeds"
 TICK_PERIOD_S = 0.25
-DECLARATIONS_WAIT_S = 10.0
+OWN_TOPIC_WAIT_S = 10.0
 CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
 STORE, PEER = "store", "peer"
-FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
+OWN_TOPICS = (Topic.DECLARATIONS, Topic.QUARANTINES)
+FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, *OWN_TOPICS)
 
 
 class FeedTask(Task):
@@ -330,16 +330,12 @@
     def _apply_watermark(self, topic, state, watermark, now):
         """Confirm this node's position, or start to catch up with the watermark.
 
-        A watermark without changes of declarations means that there are none.
+        A watermark without changes of one of our own topics means that it is empty.
         """
         position = state.position
-        if (
-            not watermark.changed_offset
-            and not position.known
-            and topic is Topic.DECLARATIONS
-        ):
+        if not watermark.changed_offset and not position.known and topic in OWN_TOPICS:
             position = Position(known=True)
-            self.send_message("configuration", DeclarationsRead(0, ()))
+            self.view.send_records(topic, 0, ())
         if watermark.changed_offset > state.target_offset:
             state.target_offset, state.target_since_s = watermark.changed_offset, now
         if position.known and position.end_offset >= state.target_offset:
@@ -481,10 +477,10 @@
             if now >= max(due_s, state.store_read_due_s):
                 self._call_store(topic)
         elif self.is_reader:
-            waits = {
-                Topic.CONFIGURATION: self.timings.configuration_wait_s,
-                Topic.DECLARATIONS: DECLARATIONS_WAIT_S,
-            }
+            if topic in OWN_TOPICS and self.topics[Topic.UPSTREAMS].failures:
+                return  # the store refuses calls: leave them to the required topics
+            waits = dict.fromkeys(OWN_TOPICS, OWN_TOPIC_WAIT_S)
+            waits[Topic.CONFIGURATION] = self.timings.configuration_wait_s
             self._call_store(topic, waits.get(topic, 0.0))
         elif state.behind and now >= state.store_read_due_s:
             self._call_store(topic)
--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -7,6 +7,7 @@
 from comfreyusher.feeds._messages import (
     ConfigurationChanged,
     DeclarationsRead,
+    QuarantinesRead,
     UpstreamsChanged,
 )
 from comfreyusher.feeds._relay import compress_record, decompress_value
@@ -20,6 +21,9 @@
 from comfreyusher.platform import DecodeError, Record, Topic
 
 PART = "feeds"
+RECORD_TOPICS = (Topic.CONFIGURATION, Topic.DECLARATIONS, Topic.QUARANTINES)
+CHANNELS = {Topic.DECLARATIONS: "configuration", Topic.QUARANTINES: "quarantine"}
+MESSAGES = {Topic.DECLARATIONS: DeclarationsRead, Topic.QUARANTINES: QuarantinesRead}
 
 
 class FeedView:
@@ -34,8 +38,8 @@
         self.send_message = send_message
         self.registry = UpstreamRegistry()
         self.configuration = None
-        self.newest_records = {Topic.CONFIGURATION: {}, Topic.DECLARATIONS: {}}
-        self.compressed_records = {Topic.CONFIGURATION: {}, Topic.DECLARATIONS: {}}
+        self.newest_records = {topic: {} for topic in RECORD_TOPICS}
+        self.compressed_records = {topic: {} for topic in RECORD_TOPICS}
 
     # Upstreams -----------------------------------------------------------------
 
@@ -64,7 +68,7 @@
     # Records -------------------------------------------------------------------
 
     def update_records(self, topic, read, whole, source, waited_ms):
-        """Take records of the operator's configuration, or of declarations.
+        """Take records of the operator's configuration, or of our own topics.
 
         Return whether they changed anything. ``waited_ms`` is for how long this
         node has known that there are newer ones.
@@ -73,11 +77,13 @@
         if topic is Topic.CONFIGURATION:
             return self._update_configuration(read.records, source, waited_ms)
         if read.records or whole:
-            self.send_message(
-                "configuration", DeclarationsRead(read.end_offset, read.records)
-            )
+            self.send_records(topic, read.end_offset, read.records)
         return bool(read.records)
 
+    def send_records(self, topic, end_offset, records):
+        """Send records of one of our own topics to the task that uses them."""
+        self.send_message(CHANNELS[topic], MESSAGES[topic](end_offset, records))
+
     def _update_configuration(self, records, source, waited_ms):
         try:
             newest = apply_configuration(self.configuration, records)
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -68,9 +68,15 @@
     Outcome,
     WorkClass,
 )
+from comfreyusher.messages._quarantine import (
+    AcquittalNotice,
+    CrashNotice,
+    QuarantineNotice,
+)
 
 __all__ = [
     "NOT_RUN_VERDICTS",
+    "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
     "CallerDisconnected",
@@ -84,6 +90,7 @@
     "ClientResponseCredit",
     "ClientResponseStart",
     "CompressedRecord",
+    "CrashNotice",
     "Denial",
     "DenialReason",
     "FeedWatermarks",
@@ -98,6 +105,7 @@
     "OffsetUpdate",
     "Outcome",
     "PeerDisconnected",
+    "QuarantineNotice",
     "QueuedAck",
     "RegisteredUpstream",
     "ReplicationAck",
--- a/comfreyusher/messages/_grants.py
+++ b/comfreyusher/messages/_grants.py
@@ -113,7 +113,7 @@
 
     ``risk`` is the owner's estimate of the probability that the upstream fails
     the request, ``typical_ms`` the usual time of such requests, 0 if it is not
-    known.
+    known. ``started_ms`` is the Unix time of the upstream's start.
     """
 
     key: AttemptKey
@@ -123,6 +123,7 @@
     risk: float
     queued_ms: int
     typical_ms: int
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,7 +137,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptReport:
-    """Report how an attempt ended; ``took_ms`` counts from its dispatch."""
+    """Report how an attempt ended; ``took_ms`` counts from its dispatch.
+
+    ``started_ms`` is the Unix time of the upstream's start.
+    """
 
     key: AttemptKey
     group: str
@@ -144,6 +148,7 @@
     verdict: Verdict
     took_ms: int
     fingerprint: str = ""
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -19,6 +19,7 @@
 from comfreyusher.owner import OwnerTask
 from comfreyusher.peering import PeerDatagramTask, PeerTask
 from comfreyusher.platform import PlatformTask, parse_upstream_headers
+from comfreyusher.quarantine import QuarantineTask
 from comfreyusher.queries import QueryTask
 from comfreyusher.settings import (
     CustomerKeyMode,
@@ -105,6 +106,7 @@
         ),
         FeedTask(own, _build_feed_timings(fleet)),
         DirectoryTask(own),
+        QuarantineTask(own),
         ConfigurationTask(own.node),
         AccountTask(own.node),
         QueryTask(),
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -33,6 +33,7 @@
 from comfreyusher.operators import NodeStatus
 from comfreyusher.owner import Ejected, LeaveGroups, PlansUpdated, Quarantined
 from comfreyusher.peering import PeerAddresses
+from comfreyusher.quarantine import QuarantineBegun
 from comfreyusher.routing import (
     RoutingTable,
     has_routes,
@@ -153,6 +154,7 @@
         self.send_message("datagrams", addresses)
         self.send_message("feeds", self._build_region_changed(changed.members))
         self.send_message("directory", changed)
+        self.send_message("quarantine", changed)
         nodes = tuple(record.node for record in changed.members)
         self.send_message("configuration", LiveNodesChanged(nodes))
         replica_node = choose_replica_node(self.own, changed.members)
@@ -221,7 +223,7 @@
         self.send_message("telemetry", ejection)
 
     def handle_quarantined(self, quarantined):
-        """Log a request that is refused from now on, since it crashed upstreams."""
+        """Spread the quarantine of a request that crashed upstreams of a group."""
         log_warning(
             "owner",
             "quarantined",
@@ -229,6 +231,8 @@
             fingerprint=quarantined.fingerprint,
             crashed=quarantined.crashed_upstreams,
         )
+        begun = QuarantineBegun(quarantined.fingerprint, quarantined.quarantine_ms)
+        self.send_message("quarantine", begun)
 
     # Time ----------------------------------------------------------------------
 
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -276,4 +276,5 @@
         round(attempt.risk, 3),
         int((attempt.granted_s - attempt.queued_s) * 1000),
         int(typical_s * 1000),
+        upstream.started_ms,
     )
--- a/comfreyusher/owner/_messages.py
+++ b/comfreyusher/owner/_messages.py
@@ -37,11 +37,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantined:
-    """A request that crashed upstreams is quarantined from now on; for logs."""
+    """A request that crashed upstreams is quarantined for ``quarantine_ms``."""
 
     group: str
     fingerprint: str
     crashed_upstreams: tuple
+    quarantine_ms: int
 
 
 def to_entry_node(body):
--- a/comfreyusher/owner/_poison_requests.py
+++ b/comfreyusher/owner/_poison_requests.py
@@ -5,28 +5,33 @@
 the owner, which every attempt needs a grant of, denies all its further attempts,
 and the crashes no longer count against the upstreams. A successful response
 clears the suspect.
+
+An owner sees the crashes of its group only, and forgets them with its process.
+``comfreyusher.quarantine`` counts for the whole fleet.
 """
 
 from comfreyusher.flow import Envelope, continue_pipe, end_pipe, replace
 from comfreyusher.health import new_failure_estimate
 from comfreyusher.owner._messages import Quarantined
 from comfreyusher.owner._state import SuspectRequest, replace_upstream
+from comfreyusher.quarantine import SuspectAcquitted
 
 SUSPECT_EXPIRY_S = 60.0
 NODE_CHANNEL = "node"
+QUARANTINE_CHANNEL = "quarantine"
 
 
 def record_crash(group, report, now):
     """Return the group after an upstream crashed while it ran a request."""
     fingerprint = report.fingerprint
     known = group.suspects.get(fingerprint)
-    crashed_upstreams = known.crashed_upstreams if known else frozenset()
-    crashed_upstreams |= {report.upstream}
-    suspect = SuspectRequest(crashed_upstreams, now)
+    crashes = known.crashes if known else frozenset()
+    crashes |= {(report.upstream, report.started_ms)}
+    suspect = SuspectRequest(crashes, now)
     group = replace(group, suspects=group.suspects.set(fingerprint, suspect))
-    if len(crashed_upstreams) < group.plan.profile.poison_crashes:
+    if len(crashes) < group.plan.profile.poison_crashes:
         return continue_pipe(group, report)
-    return _quarantine_request(group, report, crashed_upstreams, now)
+    return _quarantine_request(group, report, {name for name, _ in crashes}, now)
 
 
 def _quarantine_request(group, report, crashed_upstreams, now):
@@ -40,7 +45,9 @@
         quarantine=group.quarantine.set(fingerprint, until_s),
     )
     names = tuple(sorted(crashed_upstreams))
-    quarantined = Quarantined(group.plan.group, fingerprint, names)
+    quarantined = Quarantined(
+        group.plan.group, fingerprint, names, group.plan.profile.quarantine_ms
+    )
     return end_pipe(group, report, Envelope(NODE_CHANNEL, quarantined))
 
 
@@ -56,10 +63,12 @@
 
 
 def clear_suspect(group, fingerprint):
-    """Return the group after an upstream answered the request successfully."""
+    """Clear a request that an upstream answered successfully."""
     if fingerprint not in group.suspects:
-        return group
-    return replace(group, suspects=group.suspects.delete(fingerprint))
+        return continue_pipe(group, None)
+    group = replace(group, suspects=group.suspects.delete(fingerprint))
+    acquitted = Envelope(QUARANTINE_CHANNEL, SuspectAcquitted(fingerprint))
+    return continue_pipe(group, None, acquitted)
 
 
 def expire_suspects(group, now):
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -87,7 +87,8 @@
 
 def _handle_good(group, report, attempt, now):
     """Count a successful response, unless the upstream failed after the dispatch."""
-    group = clear_suspect(group, report.fingerprint)
+    cleared = clear_suspect(group, report.fingerprint)
+    group = cleared.state
     upstream = group.upstreams[report.upstream]
     took_s = report.took_ms / 1000
     if now - took_s >= upstream.last_failure_s:
@@ -99,7 +100,7 @@
     group = replace_upstream(group, upstream)
     if attempt is not None:
         group = record_duration(group, attempt, took_s)
-    return end_pipe(group, None)
+    return end_pipe(group, None, *cleared.messages)
 
 
 def record_upstream_failure(group, name, now, unreachable=False):
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -111,9 +111,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectRequest:
-    """The upstreams that crashed while they ran the same request."""
+    """The crashes of upstreams while they ran the same request.
 
-    crashed_upstreams: frozenset
+    A crash is known by the name and the start time of its upstream, which may start
+    again under its name and crash once more.
+    """
+
+    crashes: frozenset
     last_crash_s: float
 
 
--- a/comfreyusher/peering/_codec.py
+++ b/comfreyusher/peering/_codec.py
@@ -58,6 +58,9 @@
     23: messages.SnapshotResponse,
     40: messages.ReplicationRequest,
     41: messages.ReplicationAck,
+    50: messages.CrashNotice,
+    51: messages.AcquittalNotice,
+    52: messages.QuarantineNotice,
 }
 NUMBER_BY_CLASS = {cls: number for number, cls in CLASS_BY_NUMBER.items()}
 
--- a/comfreyusher/peering/_datagrams.py
+++ b/comfreyusher/peering/_datagrams.py
@@ -9,7 +9,9 @@
 
 from comfreyusher.flow import DatagramTask
 from comfreyusher.messages import (
+    AcquittalNotice,
     AttemptReport,
+    CrashNotice,
     Denial,
     FeedWatermarks,
     GossipMessage,
@@ -17,6 +19,7 @@
     GrantRequest,
     OffsetRequest,
     OffsetUpdate,
+    QuarantineNotice,
     QueuedAck,
     ReportAck,
     ToHostPort,
@@ -41,6 +44,9 @@
     UpstreamDelta: "feeds",
     OffsetRequest: "configuration",
     OffsetUpdate: "configuration",
+    CrashNotice: "quarantine",
+    AcquittalNotice: "quarantine",
+    QuarantineNotice: "quarantine",
 }
 
 
--- a/comfreyusher/platform/_calls.py
+++ b/comfreyusher/platform/_calls.py
@@ -19,6 +19,7 @@
     DECLARATIONS = "declarations"
     ACCOUNTS = "accounts"
     NODES = "nodes"
+    QUARANTINES = "quarantines"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/platform/_wire.py
+++ b/comfreyusher/platform/_wire.py
@@ -17,6 +17,7 @@
     Topic.DECLARATIONS: "keyed.comfreyusher.declarations",
     Topic.ACCOUNTS: "keyed.comfreyusher.accounts",
     Topic.NODES: "keyed.comfreyusher.nodes",
+    Topic.QUARANTINES: "keyed.comfreyusher.quarantines",
 }
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -86,6 +86,7 @@
         self.control_bodies = {}
         self.runs = []
         self.shed = 0
+        self.crashes = 0
         self.max_jobs = 0
         self.started_s = self.clock()
         self.message_handlers = {
@@ -257,6 +258,7 @@
 
     def crash(self):
         """Abort all connections, and refuse new ones for ``crash_ms``."""
+        self.crashes += 1
         self.http_server.stop_listening()
         for connection in list(self.http_server.connections):
             self.http_server.abort(connection)
@@ -280,6 +282,7 @@
             value = {
                 "runs": self.runs,
                 "shed": self.shed,
+                "crashes": self.crashes,
                 "jobs": len(self.jobs),
                 "max_jobs": self.max_jobs,
             }
--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -73,7 +73,12 @@
         self.rng = rng
         self.logs = {
             topic: StoreLog()
-            for topic in (Topic.UPSTREAMS, Topic.CONFIGURATION, Topic.DECLARATIONS)
+            for topic in (
+                Topic.UPSTREAMS,
+                Topic.CONFIGURATION,
+                Topic.DECLARATIONS,
+                Topic.QUARANTINES,
+            )
         }
         self.vms = [f"vm-{number}" for number in range(nodes)]
         self.incarnations = dict.fromkeys(self.vms, 0)
--- a/tests/scenarios/outcomes.feature
+++ b/tests/scenarios/outcomes.feature
@@ -30,6 +30,13 @@
     Then at least 20 answers are 200 done
     And nobody is ejected
 
+  # Guards against a new owner that counts crashes anew.
+  Scenario: a request that crashes upstreams is quarantined though its owners die
+    Given a fleet of 6 nodes before 6 upstreams
+    When 3 bookings that crash upstreams are sent, each to another owner
+    And 1 s pass
+    Then every node refuses a booking that crashes upstreams
+
   Scenario: pipelined requests, a half-closed caller, and odd but valid heads
     Given a fleet of 1 nodes before 1 upstreams
     And the caller closes its side after sending
--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -389,6 +389,39 @@
     )
 
 
+@when("{count:d} bookings that crash upstreams are sent, each to another owner")
+def send_poison_to_owners(context, count):
+    """Send each, register the crashed upstream anew, and kill the owner."""
+    fleet = context.fleet
+    for crashes in range(1, count + 1):
+        send(context, sorted(fleet.nodes)[0], "GET", f"/sheets/{crashes}")
+        owner = find_owner(context)
+        entry = next(name for name in sorted(fleet.nodes) if name != owner)
+        send(context, entry, "POST", "/bookings/poison", body=b"b", crash="yes")
+        fleet.stop_node(owner, signal.SIGKILL)
+        time.sleep(0.5)
+        for number, upstream in enumerate(fleet.upstreams.values(), start=1):
+            if requests.get(f"{upstream.url}/runs", timeout=10).json()["crashes"]:
+                location = (NAGYALFOLD_1, NAGYALFOLD_2)[number % 2]
+                fleet.register_upstream(
+                    f"up-{number}",
+                    "orders",
+                    location,
+                    context.slots,
+                    started_ms=int(time.time() * 1000),
+                )
+        time.sleep(1.0)
+
+
+@then("every node refuses a booking that crashes upstreams")
+def check_poison_refused(context):
+    for name in context.fleet.nodes:
+        response = send(
+            context, name, "POST", "/bookings/poison", body=b"b", crash="yes"
+        )
+        assert response.status_code == 503, (name, response.status_code, response.text)
+
+
 @when("an upload of {megabytes:d} MB is begun through {words:Node}")
 def begin_upload(context, megabytes, words):
     node_name = resolve_node(context, words)
--- a/tests/test_owner_properties.py
+++ b/tests/test_owner_properties.py
@@ -337,9 +337,11 @@
         for message in messages:
             self.model.send(message)
 
-    def crash(self, number, upstream, fingerprint="poison"):
+    def crash(self, number, upstream, fingerprint="poison", started_ms=0):
         key = AttemptKey("n.1", number, 1)
-        return AttemptReport(key, GROUP, upstream, Verdict.CRASHED, 5, fingerprint)
+        return AttemptReport(
+            key, GROUP, upstream, Verdict.CRASHED, 5, fingerprint, started_ms
+        )
 
     def test_a_request_that_crashed_three_upstreams_is_denied_at_once(self):
         for number, name in enumerate(("u1", "u2", "u3"), start=1):
@@ -353,6 +355,12 @@
             self.send(self.crash(number, "u1"))
         self.assertEqual(self.model.quarantined, set())
 
+    # Guards against crashes that are not counted since an upstream kept its name.
+    def test_an_upstream_that_started_again_and_crashed_counts_again(self):
+        for number in range(1, 4):
+            self.send(self.crash(number, "u1", started_ms=number))
+        self.assertEqual(self.model.quarantined, {"poison"})
+
     def test_a_successful_response_clears_a_suspect(self):
         self.send(self.crash(1, "u1"), self.crash(2, "u2"))
         key = AttemptKey("n.1", 3, 1)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -7,9 +7,11 @@
 
 from comfreyusher.flow import Tick
 from comfreyusher.messages import (
+    AcquittalNotice,
     AttemptKey,
     AttemptReport,
     CompressedRecord,
+    CrashNotice,
     Denial,
     DenialReason,
     FeedWatermarks,
@@ -19,6 +21,7 @@
     GrantRequest,
     MemberRecord,
     MemberStanding,
+    QuarantineNotice,
     QueuedAck,
     RegisteredUpstream,
     ReplicationRequest,
@@ -97,6 +100,9 @@
 MESSAGES = st.one_of(
     GRANT_REQUESTS,
     st.builds(QueuedAck, KEYS),
+    st.builds(CrashNotice, TEXT, TEXT, NUMBER, NUMBER, NUMBER),
+    st.builds(AcquittalNotice, TEXT),
+    st.builds(QuarantineNotice, TEXT, NUMBER),
     st.builds(
         Grant, KEYS, TEXT, TEXT, NUMBER, st.floats(allow_nan=False), NUMBER, NUMBER
     ),
