Keep to the limit that an upstream names for the whole fleet

Cause: the header was not read. The owner of a group gives every grant of its upstreams, so it is the place that sees all requests.

Change: reports carry the limit to the owner, which keeps a token bucket for each limited upstream. A grant tells the limit that its owner knows; a node that has seen a limit returns the grant of a new owner that has seen no response yet, and tells it. A response without the header ends the limit, unless its request was sent before the limit was named. Estimates of waiting times count what limited upstreams can take.

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -25,6 +25,7 @@
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.messages import (
     NOT_RUN_VERDICTS,
+    UNKNOWN_LIMIT,
     AttemptReport,
     ClientRequestCancel,
     ClientRequestStart,
@@ -34,7 +35,11 @@
     Verdict,
     find_header,
 )
-from comfreyusher.platform import build_upstream_head, parse_upstream_headers
+from comfreyusher.platform import (
+    build_upstream_head,
+    parse_limit,
+    parse_upstream_headers,
+)
 from comfreyusher.quarantine import CrashObserved
 from comfreyusher.telemetry import SpanEnded, derive_context, format_context
 
@@ -88,6 +93,8 @@
     if grant.upstream in state.departed:
         attempt = replace(attempt, upstream=grant.upstream)
         return _end_unreached(state, request, attempt)
+    if grant.limit_per_s == UNKNOWN_LIMIT and grant.upstream in state.limits:
+        return _return_grant(state, request, attempt, grant)
     remaining_s = request.deadline_s - state.now_s
     is_refused = remaining_s <= 0 or is_quarantined(state, request)
     attempt = replace(
@@ -123,6 +130,20 @@
     return end_pipe(state, release_body(request), Envelope(UPSTREAMS, upstream_request))
 
 
+def _return_grant(state, request, attempt, grant):
+    """Tell a new owner the limit of an upstream, and ask it once more."""
+    limit_per_s = state.limits[grant.upstream]
+    attempt = replace(
+        attempt,
+        phase=AttemptPhase.ENDED,
+        upstream=grant.upstream,
+        limit_per_s=limit_per_s,
+    )
+    report = build_report(state, request, attempt, Verdict.CANCELLED)
+    step = begin_attempt(state, replace_attempt(request, attempt))
+    return end_pipe(step.state, step.item, report, *step.messages)
+
+
 def _traced_head(request, attempt):
     """Return the caller's head, with a trace context if the request is sampled."""
     head = request.start.head
@@ -170,8 +191,11 @@
     attempt = find_attempt(request, response.exchange)
     if attempt is None:
         return _discard_response(state, request, response)
+    limit_per_s = parse_limit(response.head)
+    state = _record_limit(state, attempt.upstream, limit_per_s, response.head.status)
     attempt = replace(
         attempt,
+        limit_per_s=limit_per_s,
         head=response.head,
         body_parts=(response.body,),
         size_bytes=len(response.body),
@@ -182,6 +206,15 @@
     return _stream_if_large(state, request, attempt)
 
 
+def _record_limit(state, upstream, limit_per_s, status):
+    """Return the state after a response that names a limit, or none any more."""
+    if limit_per_s:
+        return replace(state, limits=state.limits.set(upstream, limit_per_s))
+    if upstream in state.limits and status < 300:
+        return replace(state, limits=state.limits.delete(upstream))
+    return state
+
+
 def handle_response_body(state, request, response):
     """Hold or stream more of a response."""
     attempt = find_attempt(request, response.exchange)
@@ -335,6 +368,7 @@
         took_ms,
         request.fingerprint,
         attempt.started_ms,
+        attempt.limit_per_s,
     )
     span = _build_span(state, request, attempt)
     return Envelope(ENTRY, SendReport(attempt.owner, report, span))
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -53,8 +53,8 @@
     or acknowledged, in running seconds. ``tried_owners`` are the owners of the
     group that were asked in turn, this one included. ``typical_s`` is the typical
     time of such requests, 0 if it is not known, ``started_ms`` the Unix time of the
-    upstream's start. ``head`` and ``body_parts`` hold the
-    response so far.
+    upstream's start, ``limit_per_s`` the limit that its response names, or 0.
+    ``head`` and ``body_parts`` hold the response so far.
     """
 
     grant_request: GrantRequest
@@ -68,6 +68,7 @@
     sent_s: float = 0.0
     typical_s: float = 0.0
     started_ms: int = 0
+    limit_per_s: float = 0.0
     head: ResponseHead | None = None
     body_parts: tuple = ()
     size_bytes: int = 0
@@ -140,8 +141,9 @@
     the running seconds of their last message of any kind,
     ``unacknowledged_attempts`` to the number of attempts that they have not
     acknowledged at all. ``quarantined`` maps fingerprints of refused requests to the
-    end of their quarantine. ``running_s`` is ``now_s`` without the time in which this
-    process was paused.
+    end of their quarantine, ``limits`` upstreams to the requests per second that they
+    named in their last response to this node. ``running_s`` is ``now_s`` without the
+    time in which this process was paused.
     """
 
     node: str
@@ -160,6 +162,7 @@
     avoided_upstreams: immutables.Map = immutables.Map()
     departed: immutables.Map = immutables.Map()
     quarantined: immutables.Map = immutables.Map()
+    limits: immutables.Map = immutables.Map()
     spill_tokens: float = 0.0
     spill_refilled_s: float = 0.0
     now_s: float = 0.0
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -49,6 +49,7 @@
 )
 from comfreyusher.messages._grants import (
     NOT_RUN_VERDICTS,
+    UNKNOWN_LIMIT,
     AttemptKey,
     AttemptReport,
     Denial,
@@ -76,6 +77,7 @@
 
 __all__ = [
     "NOT_RUN_VERDICTS",
+    "UNKNOWN_LIMIT",
     "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
--- a/comfreyusher/messages/_grants.py
+++ b/comfreyusher/messages/_grants.py
@@ -11,6 +11,8 @@
 
 from comfreyusher.messages._outcome import WorkClass
 
+UNKNOWN_LIMIT = -1.0
+
 
 class Verdict(str, enum.Enum):
     """How an attempt ended.
@@ -113,7 +115,9 @@
 
     ``risk`` is the owner's estimate of the probability that the upstream fails
     the request, ``typical_ms`` the usual time of such requests, 0 if it is not
-    known. ``started_ms`` is the Unix time of the upstream's start.
+    known. ``started_ms`` is the Unix time of the upstream's start. ``limit_per_s`` is
+    the limit of requests per second that the upstream names, 0 if it names none, and
+    ``UNKNOWN_LIMIT`` if the owner has not seen a response of it yet.
     """
 
     key: AttemptKey
@@ -124,6 +128,7 @@
     queued_ms: int
     typical_ms: int
     started_ms: int = 0
+    limit_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +144,8 @@
 class AttemptReport:
     """Report how an attempt ended; ``took_ms`` counts from its dispatch.
 
-    ``started_ms`` is the Unix time of the upstream's start.
+    ``started_ms`` is the Unix time of the upstream's start, ``limit_per_s`` the limit
+    of requests per second that its response names, or 0.
     """
 
     key: AttemptKey
@@ -149,6 +155,7 @@
     took_ms: int
     fingerprint: str = ""
     started_ms: int = 0
+    limit_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/owner/_capacity.py
+++ b/comfreyusher/owner/_capacity.py
@@ -4,10 +4,12 @@
 
 from comfreyusher.health import Standing, usable_slots
 from comfreyusher.messages import WorkClass
+from comfreyusher.owner._rate_limit import count_tokens, limit_slots
 
 MIN_LONG_SLOTS_SHARE = 0.1
 SHORT_PEAK_MARGIN_FACTOR = 1.15
 AVOID_UPSTREAMS_S = 0.2
+DEFAULT_SERVICE_S = 0.05
 PROBATION_IDEMPOTENT_ONLY_S = 2.0
 
 
@@ -101,11 +103,24 @@
     )
 
 
+def count_free_limited(group, now):
+    """Return how many requests upstreams that name a limit can take at once."""
+    free = 0
+    for upstream in group.upstreams.values():
+        if upstream.rate_limit is not None and accepts_requests(upstream):
+            free_slots = concurrency_limit(group, upstream, now) - upstream.in_flight
+            tokens = count_tokens(upstream.rate_limit, now)
+            free += max(0, int(min(free_slots, tokens)))
+    return free
+
+
 def count_usable_slots(group, work_class, now):
     """Return how many slots of the group a work class can use now."""
     total = 0
+    mean_s = group.short_mean_s or DEFAULT_SERVICE_S
     for upstream in group.upstreams.values():
         slots = concurrency_limit(group, upstream, now)
+        slots = limit_slots(upstream, slots, mean_s)
         if work_class is WorkClass.LONG:
             slots = min(slots, long_concurrency_limit(group, upstream))
         total += slots
--- a/comfreyusher/owner/_choose.py
+++ b/comfreyusher/owner/_choose.py
@@ -23,6 +23,7 @@
     is_idle,
     is_spreading_needed,
 )
+from comfreyusher.owner._rate_limit import has_token
 from comfreyusher.owner._state import NEVER_S
 
 RETRYABLE_RISK_WEIGHT = 0.8
@@ -106,6 +107,7 @@
         upstream.failure_estimate, group.plan.profile.detection, now
     )
     free = upstream.in_flight < concurrency_limit(group, upstream, now)
+    free = free and has_token(upstream, now)
     return Candidate(upstream, risk, free)
 
 
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -17,6 +17,7 @@
 from comfreyusher.owner._load_shedding import estimate_wait, is_too_late, retry_after_ms
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._queue import count_queued_short, dequeue, enqueue
+from comfreyusher.owner._rate_limit import limit_to_tell, take_token
 from comfreyusher.owner._retry_budget import allows_retry, available_slack
 from comfreyusher.owner._state import Attempt, replace_upstream
 from comfreyusher.owner._window import count_event
@@ -260,6 +261,7 @@
         long_in_flight=upstream.long_in_flight + group.is_long(attempt),
         last_grant_s=now,
     )
+    upstream = take_token(upstream, attempt.request.owner_rank, now)
     group = replace_upstream(group, upstream)
     group = replace(group, attempts=group.attempts.set(attempt.request.key, attempt))
     return end_pipe(group, attempt, to_entry_node(_grant_of(group, attempt)))
@@ -277,4 +279,5 @@
         int((attempt.granted_s - attempt.queued_s) * 1000),
         int(typical_s * 1000),
         upstream.started_ms,
+        limit_to_tell(upstream),
     )
--- a/comfreyusher/owner/_load_shedding.py
+++ b/comfreyusher/owner/_load_shedding.py
@@ -10,10 +10,13 @@
 
 from comfreyusher.messages import WorkClass
 from comfreyusher.owner._arrivals import higher_priority_rate, steady_short_rate
-from comfreyusher.owner._capacity import count_usable_slots
+from comfreyusher.owner._capacity import (
+    DEFAULT_SERVICE_S,
+    count_free_limited,
+    count_usable_slots,
+)
 from comfreyusher.owner._queue import count_ahead, count_queued_short
 
-DEFAULT_SERVICE_S = 0.05
 MIN_RETRY_AFTER_MS = 100
 NO_SLOTS_RETRY_AFTER_MS = 500
 SERVICE_TIME_FACTOR = 1.2
@@ -34,14 +37,16 @@
     """Capacity of a group for one work class.
 
     ``busy`` of the ``slots`` are in use, and ``mean_s`` is the mean service time
-    in seconds. For long requests, ``backlog_s`` is the service time in seconds of
-    all queued short requests on one slot, and ``later_slots`` the slots that are
-    left once the queued short requests are done.
+    in seconds. ``free`` requests can be granted at once. For long requests,
+    ``backlog_s`` is the service time in seconds of all queued short requests on one
+    slot, and ``later_slots`` the slots that are left once the queued short requests
+    are done.
     """
 
     slots: float
     busy: int
     mean_s: float
+    free: float
     backlog_s: float = 0.0
     later_slots: float = 0.0
 
@@ -50,14 +55,16 @@
     """Return the capacity of a group for a work class, now and later."""
     slots = count_usable_slots(group, work_class, now)
     busy = _count_busy(group, work_class)
+    free = max(slots - busy, count_free_limited(group, now))
     short_mean_s = group.short_mean_s or DEFAULT_SERVICE_S
     if work_class is not WorkClass.LONG:
-        return ClassCapacity(slots, busy, short_mean_s)
+        return ClassCapacity(slots, busy, short_mean_s, free)
     steady_slots = steady_short_rate(group.arrivals, now) * short_mean_s
     return ClassCapacity(
         slots,
         busy,
         group.long_mean_s or DEFAULT_SERVICE_S,
+        free,
         count_queued_short(group) * short_mean_s,
         count_usable_slots(group, WorkClass.SHORT, now) - steady_slots,
     )
@@ -83,7 +90,7 @@
     service_s = group.typical_s.get(attempt.request.route_key, capacity.mean_s)
     if not capacity.slots:
         return WaitEstimate(float("inf"), service_s)
-    waiting = max(0, ahead + 1 - max(0, capacity.slots - capacity.busy))
+    waiting = max(0, ahead + 1 - max(0, capacity.free))
     rate = capacity.slots / capacity.mean_s
     rate = max(rate * MIN_RATE_SHARE, rate - higher_priority_per_s)
     wait_s = waiting / rate
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -13,6 +13,7 @@
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._poison_requests import clear_suspect, record_crash
 from comfreyusher.owner._queue import dequeue
+from comfreyusher.owner._rate_limit import record_limit
 from comfreyusher.owner._state import (
     MAX_DURATIONS,
     replace_upstream,
@@ -43,6 +44,7 @@
     elif not report.upstream:
         return end_pipe(group, None, ack)
     if report.upstream in group.upstreams:
+        group = record_limit(group, report, now)
         step = VERDICT_HANDLERS[report.verdict](group, report, attempt, now)
         group = record_outcome(step.state, report, attempt, now)
         return end_pipe(group, None, ack, *step.messages)
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -55,6 +55,19 @@
     budget_slack: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A limit of requests per second that an upstream named last at ``named_s``.
+
+    ``tokens`` is how many requests could be granted at ``refilled_s``.
+    """
+
+    per_s: float
+    tokens: float
+    refilled_s: float
+    named_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Upstream:
     """An upstream and its load.
@@ -67,6 +80,8 @@
     time. ``duration_ratio`` is the moving average of the durations of its requests
     divided by the typical duration of their routes. ``unreached_by`` maps entry
     nodes to the time when they last reported that they cannot reach it.
+    ``rate_limit`` is the limit that it names, ``limit_known`` tells whether any
+    response has told this owner.
     """
 
     name: str
@@ -88,6 +103,8 @@
     shed_limit: float = float("inf")
     duration_ratio: float = 1.0
     unreached_by: immutables.Map = immutables.Map()
+    rate_limit: RateLimit | None = None
+    limit_known: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -29,6 +29,7 @@
     build_request_id_headers,
     build_upstream_head,
     parse_caller_headers,
+    parse_limit,
     parse_upstream_headers,
 )
 from comfreyusher.platform._task import PlatformTask
@@ -56,5 +57,6 @@
     "decode_upstream",
     "find_configuration",
     "parse_caller_headers",
+    "parse_limit",
     "parse_upstream_headers",
 ]
--- a/comfreyusher/platform/_headers.py
+++ b/comfreyusher/platform/_headers.py
@@ -1,14 +1,17 @@
 """Parsing and building of the platform's headers."""
 
 import dataclasses
+import re
 
-from comfreyusher.messages import RequestHead
+from comfreyusher.messages import RequestHead, find_header
 
 REQUEST_ID_HEADER = b"X-Request-Id"
 DEADLINE_HEADER = b"X-Deadline-Ms"
 EXPECT_INSTANCE_HEADER = b"X-Expect-Instance"
 RESPONSE_SEAL_HEADER = b"x-response-seal"
 NOT_EXECUTED_HEADER = b"x-not-executed"
+LIMIT_HEADER = b"server-limit"
+LIMIT_PATTERN = re.compile(r"\d{1,9}(?:\.\d{1,9})?")
 ADDED_HEADERS = frozenset(
     name.lower()
     for name in (REQUEST_ID_HEADER, DEADLINE_HEADER, EXPECT_INSTANCE_HEADER)
@@ -16,6 +19,8 @@
 REFUSING_STATUSES = frozenset((400, 421, 429, 503))
 MISDIRECTED_STATUS = 421
 MAX_DEADLINE_DIGITS = 9
+# An upstream that takes nothing is asked now and then whether that still holds.
+MIN_LIMIT_PER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +98,17 @@
     return UpstreamHeaders(request_id, sealed, not_run, misdirected)
 
 
+def parse_limit(head):
+    """Return the requests per second that an upstream takes from the whole fleet.
+
+    0 means that its response names no limit, or none that can be read.
+    """
+    text = find_header(head, LIMIT_HEADER)
+    if text is None or not LIMIT_PATTERN.fullmatch(text):
+        return 0.0
+    return max(MIN_LIMIT_PER_S, float(text))
+
+
 def build_request_id_headers(request_id):
     """Return the headers for a response that the fleet itself generates."""
     return ((REQUEST_ID_HEADER, request_id.encode("latin-1")),) if request_id else ()
