Read odd records of other writers without harm to their neighbours

Cause: decoders caught the errors of msgspec, but a RecursionError, a ValueError of int() and an OverflowError of round() came through, so the handler failed with its read still pending. Values that were decoded could fail later: numbers beyond 64 bits in datagrams, host names in connect, names that fit no header. A newest configuration that could not be read also hid a readable one read with it, a weight with decimals or an entry of an unknown kind refused the whole document. Class of fault: input with more kinds of failure than its reader expects.

Change: comfreyusher.decoding has one error for all that can be in the bytes, and every reader of the store uses it: upstreams, configuration, declarations, accounts, addresses of nodes, quarantines, the store's own responses. Entries are checked for what later uses need. The newest configuration that can be read counts.

--- a/comfreyusher/accounts/_record.py
+++ b/comfreyusher/accounts/_record.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from comfreyusher.accounts._entry import AccountEntry
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.errors import ComfreyusherError
 
 FORMAT = 1
@@ -46,8 +47,8 @@
 def decode_account_record(text):
     """Return the account record in a text, or raise ``AccountRecordError``."""
     try:
-        record = msgspec.json.decode(text, type=AccountRecord)
-    except msgspec.MsgspecError as error:
+        record = decode_json(text, AccountRecord)
+    except DecodingError as error:
         raise AccountRecordError(f"unreadable account record: {error}") from error
     if record.format != FORMAT:
         raise AccountRecordError(f"account record has format {record.format}")
@@ -60,7 +61,7 @@
         compressed = base64.b64decode(record.packed, validate=True)
         decompressor = zlib.decompressobj()
         data = decompressor.decompress(compressed, MAX_DECOMPRESSED_BYTES)
-        entries = msgspec.json.decode(data, type=tuple[AccountEntry, ...])
-    except (ValueError, zlib.error, msgspec.MsgspecError) as error:
+        entries = decode_json(data, tuple[AccountEntry, ...])
+    except (ValueError, zlib.error, DecodingError) as error:
         raise AccountRecordError(f"unreadable account entries: {error}") from error
     return entries
--- a/comfreyusher/declarations/_record.py
+++ b/comfreyusher/declarations/_record.py
@@ -4,11 +4,12 @@
 import sys
 import time
 import uuid
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.errors import ComfreyusherError
 
 FORMAT = 1
@@ -62,8 +63,8 @@
 def decode_record(text):
     """Return the record in a JSON text, or raise ``RecordError``."""
     try:
-        record = msgspec.json.decode(text, type=Record)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        record = decode_json(text, Record)
+    except DecodingError as error:
         raise RecordError(f"unreadable record: {error}") from error
     if record.format != FORMAT:
         raise RecordError(f"record has format {record.format}, known is {FORMAT}")
@@ -89,6 +90,6 @@
 def read_body(record):
     """Return the decoded body of a record, or raise ``RecordError``."""
     try:
-        return msgspec.json.decode(record.body)
-    except msgspec.MsgspecError as error:
+        return decode_json(record.body, Any)
+    except DecodingError as error:
         raise RecordError(f"unreadable body: {error}") from error
--- a/comfreyusher/directory/_task.py
+++ b/comfreyusher/directory/_task.py
@@ -1,9 +1,12 @@
 """The task that registers this node's address in the store and finds other nodes."""
 
 import dataclasses
+import ipaddress
+from typing import Annotated
 
 import msgspec
 
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.events import log_info, log_warning
 from comfreyusher.flow import Subscribe, Task, Tick
 from comfreyusher.membership import MembersChanged, SeedsFound
@@ -28,7 +31,7 @@
     """Where a node listens for datagrams; the value of its record in the store."""
 
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
 class DirectoryTask(Task):
@@ -101,8 +104,9 @@
         if record.key == own_name or not record.value:
             continue
         try:
-            address = msgspec.json.decode(record.value, type=GossipAddress)
-        except msgspec.MsgspecError as error:
+            address = decode_json(record.value, GossipAddress)
+            ipaddress.IPv4Address(address.host)
+        except (DecodingError, ValueError) as error:
             log_warning(PART, "node address skipped", key=record.key, reason=str(error))
             continue
         yield address.host, address.port
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -9,13 +9,15 @@
 
 import immutables
 
+from comfreyusher.declarations import PlatformConfiguration
 from comfreyusher.flow import replace
 from comfreyusher.messages import RegisteredUpstream
 from comfreyusher.platform import (
     DecodeError,
+    Record,
     decode_configuration,
     decode_upstream,
-    find_configuration,
+    find_configurations,
 )
 
 NEVER_S = -1e9
@@ -233,16 +235,33 @@
     return replace(known, remaining_warmup_ms=entry.remaining_warmup_ms) == entry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationResult:
+    """The configuration in force after some records.
+
+    ``record`` is the one that brought it, ``None`` if none did. ``faults`` describe
+    unreadable records.
+    """
+
+    configuration: PlatformConfiguration | None
+    record: Record | None = None
+    faults: tuple = ()
+
+
 def apply_configuration(current, records):
-    """Return the newest of the current configuration and those in the records.
+    """Return the ``ConfigurationResult`` of some records.
 
-    An older version never replaces a newer one. ``current`` is ``None`` before the
-    first one. Raises ``DecodeError`` if the newest record cannot be read.
+    The newest one that can be read counts, and an older version never replaces a
+    newer one. ``current`` is ``None`` before the first one.
     """
-    record = find_configuration(records)
-    if record is None:
-        return current
-    newest = decode_configuration(record.value)
-    if current is not None and newest.version <= current.version:
-        return current
-    return newest
+    faults = []
+    for record in find_configurations(records):
+        try:
+            newest = decode_configuration(record.value)
+        except DecodeError as error:
+            faults.append(str(error))
+            continue
+        if current is not None and newest.version <= current.version:
+            record, newest = None, current
+        return ConfigurationResult(newest, record, tuple(faults))
+    return ConfigurationResult(current, None, tuple(faults))
--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -18,7 +18,7 @@
     apply_upstream_records,
 )
 from comfreyusher.feeds._topic import update_newest
-from comfreyusher.platform import DecodeError, Record, Topic
+from comfreyusher.platform import Record, Topic
 
 PART = "feeds"
 RECORD_TOPICS = (Topic.CONFIGURATION, Topic.DECLARATIONS, Topic.QUARANTINES)
@@ -73,9 +73,9 @@
         Return whether they changed anything. ``waited_ms`` is for how long this
         node has known that there are newer ones.
         """
-        update_newest(self.newest_records[topic], read.records)
         if topic is Topic.CONFIGURATION:
             return self._update_configuration(read.records, source, waited_ms)
+        update_newest(self.newest_records[topic], read.records)
         if read.records or whole:
             self.send_records(topic, read.end_offset, read.records)
         return bool(read.records)
@@ -85,17 +85,16 @@
         self.send_message(CHANNELS[topic], MESSAGES[topic](end_offset, records))
 
     def _update_configuration(self, records, source, waited_ms):
-        try:
-            newest = apply_configuration(self.configuration, records)
-        except DecodeError as error:
-            log_warning(PART, "configuration refused", reason=str(error))
-            return False
-        if newest is self.configuration:
+        result = apply_configuration(self.configuration, records)
+        for fault in result.faults:
+            log_warning(PART, "configuration refused", reason=fault)
+        if result.record is None:
             return False
-        self.configuration = newest
+        self.configuration = result.configuration
         newest_records = self.newest_records[Topic.CONFIGURATION]
-        log_configuration(newest, newest_records, source, waited_ms)
-        self.send_message("node", ConfigurationChanged(newest))
+        newest_records[result.record.key] = result.record
+        log_configuration(self.configuration, newest_records, source, waited_ms)
+        self.send_message("node", ConfigurationChanged(self.configuration))
         return True
 
     # Other nodes -----------------------------------------------------------------
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -21,7 +21,7 @@
     decode_configuration,
     decode_duration,
     decode_upstream,
-    find_configuration,
+    find_configurations,
 )
 from comfreyusher.platform._headers import (
     CallerHeaders,
@@ -55,7 +55,7 @@
     "decode_configuration",
     "decode_duration",
     "decode_upstream",
-    "find_configuration",
+    "find_configurations",
     "parse_caller_headers",
     "parse_limit",
     "parse_upstream_headers",
--- a/comfreyusher/platform/_decode.py
+++ b/comfreyusher/platform/_decode.py
@@ -1,21 +1,35 @@
 """Decoding of the platform's documents into this project's types."""
 
+import ipaddress
 import re
-from typing import Any
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from comfreyusher.declarations import Part, PlatformConfiguration, Route
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.errors import ComfreyusherError
 from comfreyusher.messages import RegisteredUpstream
 
 CONFIGURATION_KEY = "config"
-DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+DURATION_PATTERN = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)")
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{8}")
+NAME_PATTERN = re.compile(r"[!-~]{1,255}")  # fits into a header
 MILLISECONDS_PER_UNIT = {"ms": 1, "s": 1000}
 DEFAULT_TIMEOUT_MS = 60_000
 UPSTREAM_STATES = ("ready", "draining")
 IDEMPOTENT_KINDS = ("safe",)
 LARGE_KINDS = ("upload",)
+MAX_PORT = 65535
+MAX_UNIX_MS = 1 << 53
+WEIGHT_SCALE = 1000  # the smallest share of a weight that counts
+ShortText = Annotated[str, Meta(max_length=255)]
+Slots = Annotated[int, Meta(ge=1, le=100_000)]
+UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
+Weight = Annotated[float, Meta(ge=0, le=1e9)]
+Rank = Annotated[int, Meta(le=1_000_000)]
 
 
 class DecodeError(ComfreyusherError):
@@ -30,20 +44,20 @@
     are not decoded, since neither tells which of two entries is newer.
     """
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: ShortText
+    address: ShortText
+    zone: ShortText
+    slots: Slots
     state: str
     warmup_left: str = "0ms"
-    born: int = 0
+    born: UnixMs = 0
 
 
 class _Part(msgspec.Struct):
     """A service with its share of the traffic of a route."""
 
     service: str
-    weight: int
+    weight: Weight
 
 
 class _Spec(msgspec.Struct):
@@ -59,22 +73,28 @@
     kind: str = ""
     timeout: str | None = None
     target_latency: str | None = None
-    priority: int = 0
+    priority: Rank = 0
     service: str | None = None
     traffic_split: list[_Part] | None = None
-    max_attempts: int = 0
+    max_attempts: Rank = 0
     idle_timeout: str | None = None
-    header_timeout: str | None = None
-    max_header_bytes: int | None = None
-    max_body_bytes: int | None = None
+
+
+class _Metadata(msgspec.Struct):
+    """The name of a resource."""
+
+    name: str = ""
 
 
 class _Resource(msgspec.Struct):
-    """One entry; ``entry_kind`` is what it configures."""
+    """One entry; ``entry_kind`` is what it configures.
+
+    The other fields are decoded only for the kinds that this project knows.
+    """
 
     entry_kind: str
-    spec: _Spec
-    metadata: dict[str, Any] = {}
+    spec: msgspec.Raw = msgspec.Raw(b"{}")
+    metadata: msgspec.Raw = msgspec.Raw(b"{}")
 
 
 class _Configuration(msgspec.Struct):
@@ -103,22 +123,17 @@
     """
     if not record.value:
         return RegisteredUpstream(record.key, removed=True)
-    try:
-        entry = msgspec.json.decode(record.value, type=_Upstream)
-    except msgspec.MsgspecError as error:
-        raise DecodeError(f"unreadable upstream {record.key}: {error}") from error
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise DecodeError(f"upstream {record.key} has no usable address")
-    if entry.state not in UPSTREAM_STATES or entry.slots < 1 or entry.born < 0:
-        raise DecodeError(
-            f"upstream {record.key} has an invalid state, slots or start time"
-        )
+    if not NAME_PATTERN.fullmatch(record.key):
+        raise DecodeError(f"upstream {record.key!r} has no usable name")
+    entry = _decode(record.value, _Upstream, f"upstream {record.key}")
+    host, port = _parse_address(entry.address)
+    if entry.state not in UPSTREAM_STATES:
+        raise DecodeError(f"upstream {record.key} has an unknown state")
     return RegisteredUpstream(
         record.key,
         entry.service,
         host,
-        int(port),
+        port,
         entry.zone,
         entry.slots,
         entry.state == "draining",
@@ -132,27 +147,52 @@
 
     Raises ``DecodeError`` for the whole configuration if a part of it is malformed.
     """
-    try:
-        document = msgspec.json.decode(value, type=_Configuration)
-        version = int(document.version, 16)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DecodeError(f"unreadable configuration: {error}") from error
+    document = _decode(value, _Configuration, "configuration")
+    if not VERSION_PATTERN.fullmatch(document.version):
+        raise DecodeError(f"configuration has no version: {document.version[:20]!r}")
     routes, services, idle_ms = [], [], 0
     for resource in document.resources:
         if resource.entry_kind == "routes":
-            routes.append(_decode_route(resource.spec))
+            routes.append(_decode_route(_decode(resource.spec, _Spec, "route")))
         elif resource.entry_kind == "services":
-            services.append(str(resource.metadata.get("name", "")))
-        elif resource.entry_kind == "limits" and resource.spec.idle_timeout:
-            idle_ms = decode_duration(resource.spec.idle_timeout)
+            services.append(_decode(resource.metadata, _Metadata, "service").name)
+        elif resource.entry_kind == "limits":
+            limits = _decode(resource.spec, _Spec, "limits")
+            idle_ms = _duration_or(limits.idle_timeout, 0)
+    version = int(document.version, 16)
     return PlatformConfiguration(version, tuple(routes), tuple(services), idle_ms)
 
 
+def _decode(data, struct_type, what):
+    try:
+        return decode_json(data, struct_type)
+    except DecodingError as error:
+        raise DecodeError(f"unreadable {what}: {error}") from error
+
+
+def _parse_address(address):
+    """Return the host and the port of an address; the host must be an IPv4 address."""
+    host, _, port = address.rpartition(":")
+    if not PORT_PATTERN.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise DecodeError(f"{address[:50]!r} has no usable port")
+    try:
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError as error:
+        raise DecodeError(f"{address[:50]!r} is no IPv4 address") from error
+
+
+def _build_parts(split):
+    """Return the parts of a split, whose weights are whole numbers."""
+    is_whole = all(part.weight.is_integer() for part in split)
+    scale = 1 if is_whole else WEIGHT_SCALE
+    return tuple(Part(part.service, round(part.weight * scale)) for part in split)
+
+
 def _decode_route(spec):
     if not spec.path_prefix.startswith("/"):
         raise DecodeError("a route has no path prefix")
     if spec.traffic_split:
-        parts = tuple(Part(part.service, part.weight) for part in spec.traffic_split)
+        parts = _build_parts(spec.traffic_split)
     elif spec.service:
         parts = (Part(spec.service, 1),)
     else:
@@ -174,10 +214,7 @@
     return decode_duration(text) if text else default
 
 
-def find_configuration(records):
-    """Return the newest record that holds a configuration, or ``None``."""
-    newest = None
-    for record in records:
-        if record.key == CONFIGURATION_KEY and record.value:
-            newest = record
-    return newest
+def find_configurations(records):
+    """Return the records that hold a configuration, the newest one first."""
+    found = [r for r in records if r.key == CONFIGURATION_KEY and r.value]
+    return tuple(reversed(found))
--- a/comfreyusher/platform/_wire.py
+++ b/comfreyusher/platform/_wire.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import struct
+from urllib.parse import quote
 
 import msgspec
 
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.platform._calls import ANY_END_OFFSET, Record, Topic
 from comfreyusher.platform._decode import DecodeError
 
@@ -100,7 +102,7 @@
 def build_newest_target(topic, after_key):
     """Return the request target of a page of newest records."""
     target = f"/log-newest?topic={TOPIC_NAMES[topic]}&part=0"
-    return f"{target}&after={after_key}" if after_key else target
+    return f"{target}&after={quote(after_key, safe='')}" if after_key else target
 
 
 def decode_append(body):
@@ -132,8 +134,8 @@
 
 def _decode(body, struct_type):
     try:
-        return msgspec.json.decode(body, type=struct_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, struct_type)
+    except DecodingError as error:
         raise DecodeError(f"unreadable answer of the store: {error}") from error
 
 
--- a/comfreyusher/quarantine/_record.py
+++ b/comfreyusher/quarantine/_record.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.errors import ComfreyusherError
 
 FORMAT = 1
@@ -34,8 +35,8 @@
     Raises ``QuarantineRecordError`` if it cannot be read.
     """
     try:
-        record = msgspec.json.decode(value, type=QuarantineRecord)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        record = decode_json(value, QuarantineRecord)
+    except DecodingError as error:
         raise QuarantineRecordError(f"unreadable quarantine: {error}") from error
     if record.format != FORMAT:
         raise QuarantineRecordError(f"quarantine has format {record.format}")
