--- a/comfreyusher/entry/__init__.py
+++ b/comfreyusher/entry/__init__.py
@@ -1,7 +1,12 @@
 """The entry node of a request: sends it to an upstream and returns the response."""
 
 from comfreyusher.entry._arrival import ARRIVAL_PIPE
-from comfreyusher.entry._messages import RequestFinished, SendReport
+from comfreyusher.entry._messages import (
+    EndRequests,
+    NodeView,
+    RequestFinished,
+    SendReport,
+)
 from comfreyusher.entry._state import (
     ActiveRequest,
     Attempt,
@@ -10,7 +15,7 @@
     UpstreamGroup,
     new_entry_state,
 )
-from comfreyusher.entry._task import EndRequests, EntryTask, NodeView
+from comfreyusher.entry._task import EntryTask
 
 __all__ = [
     "ARRIVAL_PIPE",
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -1,18 +1,14 @@
 """The task that holds the requests of this node and runs decisions on them."""
 
-import dataclasses
-import math
 import time
 
-import immutables
 import uuid6
 
 from comfreyusher.accounts import ReplicationFinished
 from comfreyusher.entry._arrival import ARRIVAL_PIPE
+from comfreyusher.entry._attempt_ends import cancel_all
 from comfreyusher.entry._attempts import (
-    cancel_all,
     handle_denial,
-    handle_grant,
     handle_interim_response,
     handle_queued_ack,
     handle_request_failed,
@@ -22,14 +18,21 @@
 )
 from comfreyusher.entry._body import add_body, credit_caller, handle_request_credit
 from comfreyusher.entry._grant_requests import live_attempts, repeat_grant_request
-from comfreyusher.entry._messages import RequestFinished, SendReport
+from comfreyusher.entry._grants import handle_grant
+from comfreyusher.entry._messages import (
+    EndRequests,
+    NodeView,
+    RequestFinished,
+    SendReport,
+)
 from comfreyusher.entry._owners import (
     count_unacknowledged,
     drop_expired,
     is_resend_due,
     record_owner_message,
 )
-from comfreyusher.entry._state import ActiveRequest, PendingReport
+from comfreyusher.entry._report_sender import ReportSender
+from comfreyusher.entry._state import ActiveRequest
 from comfreyusher.entry._timeouts import (
     end_for_shutdown,
     end_overdue,
@@ -47,7 +50,6 @@
     record_tick,
     replace,
 )
-from comfreyusher.membership import Ownership
 from comfreyusher.messages import (
     CallerDisconnected,
     ClientInterimResponse,
@@ -64,46 +66,18 @@
     RequestBody,
     RequestStart,
     ResponseCredit,
-    ToNode,
     Verdict,
 )
 from comfreyusher.platform import parse_caller_headers
 from comfreyusher.quarantine import QuarantinesChanged
-from comfreyusher.routing import RoutingTable
 from comfreyusher.telemetry import derive_context, parse_context, start_context
 
 CHANNEL = "entry"
 PART = "entry"
 TICK_PERIOD_S = 0.05
-REPORT_RESEND_TIMEOUT_S = 0.15
-MAX_REPORT_SENDS = 6
-MAX_REPORT_SENDS_DRAINING = 3
 STARTUP_WAIT_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeView:
-    """The node's view of its configuration and of the fleet.
-
-    ``ready`` tells whether the configuration has any routes. ``departed`` maps
-    upstreams that are leaving or gone to the time when this node learned of it.
-    ``ends_s`` is when the requests in flight are ended for a shutdown.
-    """
-
-    table: RoutingTable
-    ready: bool
-    draining: bool
-    groups: immutables.Map
-    ownership: Ownership
-    departed: immutables.Map = immutables.Map()
-    ends_s: float = math.inf
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndRequests:
-    """This node ends now: answer all requests that are in flight."""
-
-
 class EntryTask(Task):
     """Holds an ``ActiveRequest`` for each request, and their ``EntryState``.
 
@@ -117,7 +91,9 @@
         self.state = state
         self.wall_clock = wall_clock
         self.requests = {}
-        self.reports = {}
+        self.reports = ReportSender(
+            lambda channel, body: self.send_message(channel, body)
+        )
         self.ticking = False
         self.tick_monitor = TickMonitor(self.clock())
         self.starting = True
@@ -313,10 +289,8 @@
             self.send_message("telemetry", message.span)
         if report.verdict not in (Verdict.GOOD, Verdict.CANCELLED):
             self._log_failure(report)
-        self.reports[report.key] = PendingReport(
-            message.owner, report, self.tick_monitor.running_s(self.clock())
-        )
-        self.send_message("datagrams", ToNode(message.owner, report))
+        running_s = self.tick_monitor.running_s(self.clock())
+        self.reports.send(message.owner, report, running_s)
         self._start_ticking()
 
     def _log_failure(self, report):
@@ -334,27 +308,9 @@
 
     def handle_report_ack(self, ack):
         """Stop resending a report that its owner has acknowledged."""
-        pending = self.reports.pop(ack.key, None)
-        if pending is not None:
-            self.state = record_owner_message(
-                self._state_at(self.clock()), pending.owner
-            )
-
-    def _resend_reports(self, running_s):
-        max_sends = (
-            MAX_REPORT_SENDS_DRAINING if self.state.draining else MAX_REPORT_SENDS
-        )
-        for key, pending in list(self.reports.items()):
-            wait_s = REPORT_RESEND_TIMEOUT_S * 2 ** (pending.send_count - 1)
-            if running_s - pending.last_sent_s < wait_s:
-                continue
-            if pending.send_count >= max_sends:
-                del self.reports[key]
-                log_info(PART, "report unheard", owner=pending.owner, number=key.number)
-                continue
-            pending.send_count += 1
-            pending.last_sent_s = running_s
-            self.send_message("datagrams", ToNode(pending.owner, pending.report))
+        owner = self.reports.acknowledge(ack.key)
+        if owner is not None:
+            self.state = record_owner_message(self._state_at(self.clock()), owner)
 
     # Node ----------------------------------------------------------------------------
 
@@ -399,7 +355,8 @@
         state = self._state_at(now)
         for request in list(self.requests.values()):
             self._check_request(request, state)
-        self._resend_reports(self.tick_monitor.running_s(now))
+        running_s = self.tick_monitor.running_s(now)
+        self.reports.resend(running_s, self.state.draining)
         if not self.requests and not self.reports:
             self.ticking = False
             self.send_message("timers", Unsubscribe(CHANNEL, "tick"))
--- a/comfreyusher/entry/_timeouts.py
+++ b/comfreyusher/entry/_timeouts.py
@@ -1,6 +1,7 @@
 """Decisions that depend on time alone: deadlines and hedges."""
 
-from comfreyusher.entry._attempts import TIMEOUT_STATUS, cancel_all
+from comfreyusher.entry._attempt_ends import cancel_all
+from comfreyusher.entry._attempts import TIMEOUT_STATUS
 from comfreyusher.entry._grant_requests import (
     choose_group,
     live_attempts,
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -4,40 +4,31 @@
 import random
 
 from comfreyusher.events import log_info
+from comfreyusher.feeds._catch_up import OWN_TOPICS, CatchUp
 from comfreyusher.feeds._exchange import REQUIRED_TOPICS, SnapshotExchange
-from comfreyusher.feeds._log import log_reader_followed
 from comfreyusher.feeds._messages import (
     ReadNow,
     RegionChanged,
     UpstreamsChanged,
 )
 from comfreyusher.feeds._outage import Outage
+from comfreyusher.feeds._publisher import RegionPublisher
 from comfreyusher.feeds._reader import backoff_s, rank_readers
-from comfreyusher.feeds._relay import first_read_delay_s, store_read_delay_s
+from comfreyusher.feeds._relay import first_read_delay_s
 from comfreyusher.feeds._state import (
     NEVER_S,
     Position,
-    add_removal_delays,
     apply_delta,
     apply_due_removals,
     apply_snapshot,
-    keep_last_entries,
 )
 from comfreyusher.feeds._topic import TopicState
 from comfreyusher.feeds._view import PART, FeedView
-from comfreyusher.feeds._watermarks import (
-    PendingDelta,
-    age_ms,
-    build_watermarks,
-    record_send,
-    split_into_pages,
-)
 from comfreyusher.flow import Subscribe, Task, Tick, replace
 from comfreyusher.messages import (
     FeedWatermarks,
     SnapshotRequest,
     SnapshotResponse,
-    ToNode,
     UpstreamDelta,
 )
 from comfreyusher.platform import (
@@ -52,11 +43,9 @@
 CHANNEL = "feeds"
 TICK_PERIOD_S = 0.25
 OWN_TOPIC_WAIT_S = 10.0
-CATCH_UP_JITTER_S = 0.25
-RETRY_BEHIND_S = 0.4
 STORE, PEER = "store", "peer"
-OWN_TOPICS = (Topic.DECLARATIONS, Topic.QUARANTINES)
 FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, *OWN_TOPICS)
+TOPIC_BY_NAME = {topic.value: topic for topic in FOLLOWED_TOPICS}
 
 
 class FeedTask(Task):
@@ -78,8 +67,10 @@
         self.exchange = SnapshotExchange(
             own, self.topics, self.view, self.clock, self._forward_message
         )
-        self.pending_deltas = []
-        self.watermarks_sent_s = 0.0
+        self.publisher = RegionPublisher(
+            own, self.topics, self.view, self.exchange, self._forward_message
+        )
+        self.catch_up = CatchUp(timings, self.view, self.exchange, self.random)
         self.last_read_s = NEVER_S
         self.outage = Outage(self.clock())
         self.started_s = 0.0
@@ -213,7 +204,7 @@
             self.exchange.request_snapshot(state.reader, topic)
         self.exchange.respond_to_pending(topic)
         if self.is_reader and (changed or topic is Topic.UPSTREAMS):
-            self._send_watermarks(now)
+            self.publisher.send(self.last_read_s, now)
 
     def _next_call_s(self, topic, state):
         if topic is Topic.UPSTREAMS:
@@ -259,46 +250,16 @@
         of such upstreams, so they get no delta and have to read for themselves.
         """
         if read.topic is not Topic.UPSTREAMS:
-            waited_ms = self._waited_ms(read.topic)
+            waited_ms = self.topics[read.topic].waited_ms(self.clock())
             return self.view.update_records(read.topic, read, whole, source, waited_ms)
         removal_due_s = self.outage.removal_due_s(self.clock())
         delta = self.view.update_upstreams(read.records, whole, removal_due_s, source)
-        if not whole:
-            self._queue_delta(delta, end_offset)
+        if not whole and self.is_reader:
+            self.publisher.queue_delta(delta, end_offset, self.clock())
         return whole or bool(delta)
 
-    def _queue_delta(self, delta, end_offset):
-        """Queue entries that this reader read up to an offset for the region."""
-        if delta and self.is_reader:
-            base_offset = self.topics[Topic.UPSTREAMS].position.changed_offset
-            newest = keep_last_entries(delta)
-            entries = add_removal_delays(self.view.registry, newest, self.clock())
-            self.pending_deltas.append(PendingDelta(base_offset, end_offset, entries))
-
-    def _waited_ms(self, topic):
-        """Return for how many milliseconds this node knew of newer records."""
-        state = self.topics[topic]
-        return int((self.clock() - state.target_since_s) * 1000) if state.behind else 0
-
     # Watermarks ------------------------------------------------------------------
 
-    def _send_watermarks(self, now):
-        """Send this reader's watermarks and the pending deltas to the region."""
-        self.watermarks_sent_s = now
-        messages = []
-        for delta in self.pending_deltas:
-            messages.extend(split_into_pages(delta, self.own.node))
-        self.pending_deltas = [
-            record_send(delta) for delta in self.pending_deltas if delta.sends_left > 1
-        ]
-        read_age_ms = age_ms(self.last_read_s, now)
-        watermarks = build_watermarks(self.topics, now)
-        messages.append(FeedWatermarks(self.own.node, watermarks, read_age_ms))
-        for node in self.exchange.nodes:
-            if node != self.own.node:
-                for body in messages:
-                    self.send_message("datagrams", ToNode(node, body))
-
     def handle_feed_watermarks(self, message):
         """Apply a reader's watermarks, and plan to get the data that is missing.
 
@@ -308,73 +269,18 @@
         now = self.clock()
         rank = self._rank_of(message.node)
         for watermark in message.topics:
-            state = self.topics.get(Topic(watermark.topic))
-            if state is not None:
-                if watermark.changed_offset >= state.target_offset:
-                    self._follow_reader(state, watermark, message.node, now)
-                self._apply_watermark(Topic(watermark.topic), state, watermark, now)
-            if watermark.topic == Topic.UPSTREAMS.value:
+            topic = TOPIC_BY_NAME.get(watermark.topic)
+            if topic is None:
+                continue  # a node of a later version knows more topics
+            self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
+            if topic is Topic.UPSTREAMS:
                 self.outage.confirm(now - watermark.age_ms / 1000)
         if self.is_reader and rank < self.rank:
             if message.read_age_ms / 1000 < self.timings.max_staleness_s(rank):
                 self.is_reader = False
-                self.pending_deltas = []
+                self.publisher.stop()
                 log_info(PART, "reader stops", better=message.node)
 
-    def _follow_reader(self, state, watermark, node, now):
-        """Remember a reader that has read at least as far as any before it."""
-        if state.reader != node and watermark.topic == Topic.UPSTREAMS.value:
-            log_reader_followed(state, watermark, node, now)
-        state.reader = node
-
-    def _apply_watermark(self, topic, state, watermark, now):
-        """Confirm this node's position, or start to catch up with the watermark.
-
-        A watermark without changes of one of our own topics means that it is empty.
-        """
-        position = state.position
-        if not watermark.changed_offset and not position.known and topic in OWN_TOPICS:
-            position = Position(known=True)
-            self.view.send_records(topic, 0, ())
-        if watermark.changed_offset > state.target_offset:
-            state.target_offset, state.target_since_s = watermark.changed_offset, now
-        if position.known and position.end_offset >= state.target_offset:
-            state.behind = False
-            confirmed_s = max(position.confirmed_s, now - watermark.age_ms / 1000)
-            state.position = replace(
-                position,
-                end_offset=max(position.end_offset, watermark.end_offset),
-                changed_offset=max(position.changed_offset, watermark.changed_offset),
-                confirmed_s=confirmed_s,
-            )
-            return
-        if not state.behind:
-            state.behind = True
-            self._start_catch_up(topic, state, now)
-        elif now - max(state.last_failure_s, state.requested_s) > RETRY_BEHIND_S:
-            state.next_call_s = min(state.next_call_s, now)
-
-    def _start_catch_up(self, topic, state, now):
-        """Request missing data from another node, and plan a read of the store."""
-        state.store_read_due_s = now + self.random.random() * CATCH_UP_JITTER_S
-        state.next_call_s = min(state.next_call_s, state.store_read_due_s)
-        if state.call_pending or not self._is_relayed(topic, state):
-            return
-        if not self.exchange.request_from_parent(topic):
-            return
-        is_root = self.exchange.is_root
-        wait_s = store_read_delay_s(
-            self.timings.configuration_apply_s, is_root, self.random.random()
-        )
-        state.store_read_due_s = now + wait_s
-
-    def _is_relayed(self, topic, state):
-        """Return whether missing data is requested from nodes before the store.
-
-        Missing entries of upstreams are few, so they are read from the store.
-        """
-        return topic is not Topic.UPSTREAMS or not state.position.known
-
     def handle_upstream_delta(self, delta):
         """Apply changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
@@ -441,7 +347,7 @@
         self.exchange.respond_to_pending(topic)
         state.behind = state.target_offset > watermark.end_offset
         if state.behind:
-            self._start_catch_up(topic, state, now)
+            self.catch_up.start(topic, state, now)
 
     # Time ------------------------------------------------------------------------
 
@@ -466,9 +372,9 @@
                 self.exchange.request_if_store_slow(topic, now)
         if (
             self.is_reader
-            and now - self.watermarks_sent_s >= 2 * self.timings.upstreams_period_s
+            and now - self.publisher.sent_s >= 2 * self.timings.upstreams_period_s
         ):
-            self._send_watermarks(now)
+            self.publisher.send(self.last_read_s, now)
 
     def _read_if_needed(self, topic, state, now):
         """Read the store as a reader, or if no other node sent the missing data."""
@@ -484,7 +390,7 @@
             self._call_store(topic, waits.get(topic, 0.0))
         elif state.behind and now >= state.store_read_due_s:
             self._call_store(topic)
-        elif state.behind and self._is_relayed(topic, state):
+        elif state.behind and self.catch_up.is_relayed(topic, state):
             self.exchange.request_from_next(topic, now)
         elif topic in REQUIRED_TOPICS and not state.position.known:
             self._call_store(topic)
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -64,6 +64,10 @@
         """Whether the records after the position can be read from the store."""
         return self.position.known and not self.offset_expired
 
+    def waited_ms(self, now):
+        """Return for how many milliseconds this node has known of newer records."""
+        return int((now - self.target_since_s) * 1000) if self.behind else 0
+
     def has_changes_after(self, end_offset):
         """Return whether there are relevant changes after an offset."""
         return self.position.known and self.position.changed_offset > end_offset
--- a/comfreyusher/http/_client.py
+++ b/comfreyusher/http/_client.py
@@ -9,13 +9,13 @@
 
 from comfreyusher.events import log_info
 from comfreyusher.flow import StreamTask, Subscribe, Tick, Unsubscribe
+from comfreyusher.http._client_connection import ClientConnection
 from comfreyusher.http._encode import encode_chunk, encode_request_head
 from comfreyusher.http._errors import HttpError
 from comfreyusher.http._parse import (
     BodyData,
     MatchedRequest,
     ParsedHead,
-    ResponseParser,
 )
 from comfreyusher.messages import (
     ClientInterimResponse,
@@ -64,39 +64,6 @@
     return float("inf")
 
 
-class ClientConnection:
-    """State of one connection to a server.
-
-    ``sent`` tells whether any byte of the request may have left this machine,
-    ``used`` whether the connection carried an earlier request. ``failed_ids`` are
-    the ids of the requests that got an error response on it.
-    ``credit_due_bytes`` are written request bytes for which the consumer has no
-    credit yet, ``unconsumed_bytes`` response bytes that the consumer has not
-    consumed yet.
-    """
-
-    def __init__(self, address, now):
-        self.address = address
-        self.parser = ResponseParser()
-        self.exchange = None
-        self.connected = False
-        self.opened_s = now
-        self.connect_timeout_s = 0.0
-        self.last_used_s = now
-        self.keep_alive_timeout_s = float("inf")
-        self.sent = False
-        self.chunked = False
-        self.request_ended = False
-        self.response_started = False
-        self.response_ended = False
-        self.keep_alive = True
-        self.credit_due_bytes = 0
-        self.unconsumed_bytes = 0
-        self.used = False
-        self.response_id = ""
-        self.failed_ids = ()
-
-
 class HttpClientTask(StreamTask):
     """Sends requests and passes their responses to the task on ``consumer``.
 
