Log limits of upstreams and connections of nodes that went silent

An owner logs a limit that an upstream names, changes or ends, with the node that saw it; a node logs the peer that did not answer a ping.

--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -158,9 +158,11 @@
 
     def decide(self, name, body):
         """Run one decision, keep the next state and send the messages."""
-        step = decide(self.groups[name], body, self.clock())
+        before = self.groups[name]
+        step = decide(before, body, self.clock())
         self.groups[name] = step.state
         if type(body) is AttemptReport:
+            self._log_limit(before, step.state, body)
             measurement = AttemptEnded(body.upstream, body.verdict.value)
             self.send_message("telemetry", measurement)
             if body.verdict is not Verdict.GOOD:
@@ -192,6 +194,20 @@
             evidence=round(upstream.health.evidence, 1) if upstream else None,
         )
 
+    def _log_limit(self, before, group, report):
+        """Log a limit that an upstream names for the first time, changes or ends."""
+        old, new = (_find_limit(state, report.upstream) for state in (before, group))
+        if old != new:
+            log_info(
+                PART,
+                "limit",
+                group=report.group,
+                upstream=report.upstream,
+                per_s=new,
+                before=old,
+                node=report.key.node,
+            )
+
     def _log_decision(self, group, message):
         body = getattr(message, "body", None)
         if type(body) is Denial:
@@ -218,3 +234,11 @@
                 risk=body.risk,
                 queued_ms=body.queued_ms,
             )
+
+
+def _find_limit(group, name):
+    """Return the limit of an upstream in requests per second, or ``None``."""
+    upstream = group.upstreams.get(name)
+    if upstream is None or upstream.rate_limit is None:
+        return None
+    return upstream.rate_limit.per_s
--- a/comfreyusher/peering/_task.py
+++ b/comfreyusher/peering/_task.py
@@ -7,6 +7,7 @@
 reached that node.
 """
 
+from comfreyusher.events import log_info
 from comfreyusher.flow import StreamTask, Subscribe, Tick
 from comfreyusher.messages import (
     PeerDisconnected,
@@ -243,6 +244,7 @@
         if unused_s > IDLE_TIMEOUT_S:
             self.abort(number)
         elif state.ping_sent_s and now - state.ping_sent_s > SILENCE_TIMEOUT_S:
+            log_info(CHANNEL, "connection silent", node=state.node)
             self.abort(number)
         elif not state.ping_sent_s and now - state.last_received_s > PING_AFTER_S:
             state.ping_sent_s = now
