Give a slow store more time before a read is sent again

Found when the change was read again: a read without a response after 0.5 s was sent once more even if its connection was new, and a store that takes 0.5 s or longer, or a full link, would have had each read cut and begun anew.

Reads are repeated only if a connection may have been used again, that is within 1 s of a response, and after two and a half times the latency seen last. All reads that wait then are repeated, also those whose own connection was new when it was opened.

--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -43,7 +43,8 @@
 PART = "platform"
 SWEEP_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 1.5
-SILENCE_TIMEOUT_S = 0.5
+MIN_SILENCE_TIMEOUT_S = 0.5
+SILENCE_LATENCY_FACTOR = 2.5
 MAX_RESPONSE_BYTES = 8 << 20
 MAX_IDLE_S = 1.0
 CALLS_PER_S = 10.0
@@ -83,21 +84,21 @@
     connection that was idle before.
     """
 
-    def __init__(self, call, now, may_reuse):
+    def __init__(self, call, now, silence_timeout_s, may_reuse):
         wait_s = call.wait_ms / 1000
         self.call = call
         self.may_reuse = may_reuse
+        self.sent_s = now
         self.due_s = now + CALL_TIMEOUT_S + wait_s
-        self.silent_due_s = now + SILENCE_TIMEOUT_S + wait_s
+        self.silent_due_s = now + silence_timeout_s + wait_s
         self.status = 0
         self.size_bytes = 0
         self.chunks = []
 
     @property
-    def is_repeatable(self):
-        """Whether a repetition on a new connection is harmless and may help."""
-        is_read = not isinstance(self.call.request, Append)
-        return is_read and self.may_reuse and not self.status
+    def is_unanswered_read(self):
+        """Whether it is a read whose response has not started."""
+        return not self.status and not isinstance(self.call.request, Append)
 
 
 class PlatformTask(Task):
@@ -105,6 +106,8 @@
 
     A connection can go silent without a reset, so that only a missing response
     shows it. Calls use new connections from then until the store responds again.
+    ``latency_s`` is how long the store took last to respond to a call that did not
+    have to wait, ``last_response_s`` when a connection became idle last.
     """
 
     def __init__(self, host, port, **kwargs):
@@ -115,6 +118,8 @@
         self.call_numbers = itertools.count(1)
         self.reachable = True
         self.may_reuse = True
+        self.latency_s = 0.0
+        self.last_response_s = -MAX_IDLE_S
         self.tokens = BURST_CALLS
         self.refilled_s = self.clock()
         self.last_sweep_s = self.clock()
@@ -156,7 +161,10 @@
         if not self._take_token():
             self._fail(call.request, "over the budget of calls", definite=True)
             return
-        self._send(PendingCall(call, self.clock(), self.may_reuse))
+        now = self.clock()
+        may_reuse = self.may_reuse and now - self.last_response_s < MAX_IDLE_S
+        timeout_s = max(MIN_SILENCE_TIMEOUT_S, SILENCE_LATENCY_FACTOR * self.latency_s)
+        self._send(PendingCall(call, now, timeout_s, may_reuse))
 
     def _send(self, pending):
         self.call_count += 1
@@ -195,6 +203,8 @@
         pending = self.calls.get(response.exchange)
         if pending is not None:
             self.may_reuse = True
+            if not pending.call.wait_ms:
+                self.latency_s = self.clock() - pending.sent_s
             pending.status = response.head.status
             self._add_chunk(response, pending)
 
@@ -219,6 +229,7 @@
             self.send_message(HTTP_CHANNEL, credit)
             return
         del self.calls[response.exchange]
+        self.last_response_s = self.clock()
         self._finish_call(pending, b"".join(pending.chunks))
 
     def _finish_call(self, pending, body):
@@ -330,7 +341,8 @@
             self.send_message("timers", Unsubscribe(CHANNEL, "sweep"))
 
     def _is_silent(self, pending, now):
-        return pending.is_repeatable and now > pending.silent_due_s
+        is_late = now > pending.silent_due_s
+        return pending.may_reuse and is_late and pending.is_unanswered_read
 
     def _repeat_reads(self):
         """Repeat all reads without a response on new connections.
@@ -338,11 +350,12 @@
         Whatever silenced one connection may have silenced all that are as old.
         """
         self.may_reuse = False
-        repeated = [key for key, call in self.calls.items() if call.is_repeatable]
+        repeated = [k for k, call in self.calls.items() if call.is_unanswered_read]
         log_info(PART, "connections silent", repeated=len(repeated))
         for key in repeated:
             pending = self._cancel(key)
             pending.may_reuse = False
+            pending.sent_s = self.clock()
             pending.call = _without_wait(pending.call)
             self._send(pending)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -353,6 +353,7 @@
     # Guards against a configuration that is late since a read waits for its timeout
     # on a connection that has gone silent.
     def test_reads_on_silent_connections_are_repeated_on_new_ones(self):
+        self.use_connection()
         short = self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
         long = self.start_call(ReadRecords("user", Topic.DECLARATIONS, 3, 10_000))
         starts = self.sweep(0.75)
@@ -363,13 +364,27 @@
         self.assertEqual([start.max_idle_s for start in starts], [0.0, 0.0])
         self.assertIn("wait_ms=0", starts[1].head.target)
 
+    def use_connection(self, took_s=0.0):
+        """Let the store respond to a call, so that a connection is idle."""
+        exchange = self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
+        self.now += took_s
+        self.respond(exchange, 200, struct.pack(">QQ", 3, 0))
+
     # Guards against twice as many calls to a store that responds to nobody.
     def test_a_read_on_a_new_connection_is_not_repeated(self):
         self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
-        self.sweep(2.0)
+        self.assertEqual(self.sweep(2.0), [])
+        self.use_connection()
+        self.now += 1.0
         self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
         self.assertEqual(self.sweep(2.0), [])
 
+    # Guards against reads that a slow store answers in time, but that are given up.
+    def test_a_slow_store_is_given_more_time(self):
+        self.use_connection(took_s=0.4)
+        self.start_call(ReadRecords("user", Topic.UPSTREAMS, 3))
+        self.assertEqual(self.sweep(1.0), [])
+
     # Guards against a record that is appended twice.
     def test_an_append_on_a_silent_connection_is_not_repeated(self):
         self.start_call(Append("user", "t", Topic.ACCOUNTS, "k", b"v"))
