Use a quarantine that begins again after one that has ended

Found when the change was read again: a node that still held the end of an earlier quarantine took a new one for known, and one crash counted twice if two nodes knew different limits of the profile. Ends in the past no longer count, crashes are kept by upstream and start, and nodes are compared by id. The new test covers the first.

--- a/comfreyusher/quarantine/_state.py
+++ b/comfreyusher/quarantine/_state.py
@@ -19,9 +19,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
-    """A request in flight on upstreams that crashed, with a notice for each crash."""
+    """A request in flight on upstreams that crashed.
 
-    notices: frozenset = frozenset()
+    ``notices`` maps the names and start times of these upstreams to ``CrashNotice``.
+    """
+
+    notices: immutables.Map = immutables.Map()
     last_crash_s: float = 0.0
 
 
@@ -55,7 +58,8 @@
     if fingerprint in state.quarantined:
         return state
     known = state.suspects.get(fingerprint, Suspect())
-    suspect = Suspect(known.notices | {notice}, now)
+    crash = (notice.upstream, notice.started_ms)
+    suspect = Suspect(known.notices.set(crash, notice), now)
     if len(suspect.notices) < notice.crash_limit:
         return replace(state, suspects=state.suspects.set(fingerprint, suspect))
     return quarantine(state, fingerprint, now + notice.quarantine_ms / 1000)
--- a/comfreyusher/quarantine/_task.py
+++ b/comfreyusher/quarantine/_task.py
@@ -87,8 +87,8 @@
         self._send_to_holders(AcquittalNotice(acquitted.fingerprint))
 
     def _send_to_holders(self, notice):
-        for member in choose_holders(self.members, notice.fingerprint):
-            self._send_twice(ToNode(member.node, notice))
+        for node in self._holders(notice.fingerprint):
+            self._send_twice(ToNode(node, notice))
 
     def _send_twice(self, to_node):
         self.send_message("datagrams", to_node)
@@ -113,8 +113,8 @@
 
     def _update(self, state):
         """Take over a state, and spread and save the quarantines that it begins."""
-        begun = [key for key in state.quarantined if key not in self.state.quarantined]
-        self.state = state
+        before, self.state = self.state, state
+        begun = [key for key in state.quarantined if key not in before.quarantined]
         for fingerprint in begun:
             log_warning(PART, "quarantined", fingerprint=fingerprint, source="crashes")
             self._spread(fingerprint, self.members)
@@ -155,7 +155,7 @@
                 self._learn(record.key, self.clock() + remaining_s, "store")
 
     def _learn(self, fingerprint, until_s, source):
-        if fingerprint in self.state.quarantined:
+        if self.state.quarantined.get(fingerprint, 0.0) > self.clock():
             return
         log_info(PART, "quarantined", fingerprint=fingerprint, source=source)
         self.state = quarantine(self.state, fingerprint, until_s)
@@ -170,21 +170,25 @@
             self._hand_over(joined)
 
     def _hand_over(self, joined):
+        nodes = {member.node for member in joined}
         for fingerprint, suspect in self.state.suspects.items():
-            for member in choose_holders(self.members, fingerprint):
-                if member in joined:
-                    for notice in suspect.notices:
-                        self._send_twice(ToNode(member.node, notice))
+            for node in nodes & self._holders(fingerprint):
+                for notice in suspect.notices.values():
+                    self._send_twice(ToNode(node, notice))
         for fingerprint, until_s in self.state.quarantined.items():
-            holders = choose_holders(self.members, fingerprint)
-            if self.own in holders and until_s > self.clock():
+            holds = self.own.node in self._holders(fingerprint)
+            if holds and until_s > self.clock():
                 self._spread(fingerprint, joined)
 
+    def _holders(self, fingerprint):
+        return {member.node for member in choose_holders(self.members, fingerprint)}
+
     # Store -----------------------------------------------------------------------
 
     def _save(self):
         """Append the quarantines that are not in the store yet."""
         now, wall_ms = self.clock(), int(self.wall_clock() * 1000)
+        self.unsaved.intersection_update(self.state.quarantined)
         for fingerprint in sorted(self.unsaved - self.appending):
             remaining_ms = int((self.state.quarantined[fingerprint] - now) * 1000)
             value = encode_quarantine(wall_ms + remaining_ms)
@@ -215,7 +219,6 @@
         resends, self.resends = self.resends, []
         for to_node in resends:
             self.send_message("datagrams", to_node)
-        self.unsaved.intersection_update(self.state.quarantined)
         self._save()
         if not self.unsaved:
             self.ticking = False
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -206,6 +206,17 @@
         fleet.start_node("vm-2")
         self.assertIn("vm-2", fleet.refusing_nodes())
 
+    # Guards against a node that takes a quarantine that has ended for the new one.
+    def test_a_request_that_crashes_upstreams_again_is_quarantined_again(self):
+        fleet = Fleet(4)
+        for first in (0, LIMIT):
+            for number in range(first, first + LIMIT):
+                fleet.crash("vm-0", f"u{number}")
+            self.assertEqual(fleet.refusing_nodes(), set(fleet.tasks))
+            for task in fleet.tasks.values():
+                self.assertGreater(task.state.quarantined["f"], fleet.now)
+            fleet.now += QUARANTINE_MS / 1000 + 1
+
     def test_an_answered_request_is_not_quarantined(self):
         fleet = Fleet(4)
         fleet.crash("vm-0", "u1")
