Use a grant at last if its owner cannot be told of a limit

A node returned the grants of a new owner until the owner had heard of the limit; with lost datagrams that could have gone on for many grants. It stops at the number of attempts that a request has. Imports of the split modules on one line.

--- a/comfreyusher/entry/_attempt_ends.py
+++ b/comfreyusher/entry/_attempt_ends.py
@@ -10,9 +10,7 @@
     replace_attempt,
 )
 from comfreyusher.entry._messages import SendReport
-from comfreyusher.entry._state import (
-    AttemptPhase,
-)
+from comfreyusher.entry._state import AttemptPhase
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.messages import (
     NOT_RUN_VERDICTS,
--- a/comfreyusher/entry/_grants.py
+++ b/comfreyusher/entry/_grants.py
@@ -10,6 +10,7 @@
 from comfreyusher.entry._body import UPSTREAMS, release_body
 from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._grant_requests import (
+    MAX_ATTEMPTS,
     begin_attempt,
     give_up,
     live_attempts,
@@ -25,9 +26,7 @@
     ClientRequestStart,
     Verdict,
 )
-from comfreyusher.platform import (
-    build_upstream_head,
-)
+from comfreyusher.platform import build_upstream_head
 from comfreyusher.telemetry import format_context
 
 NON_IDEMPOTENT_MAX_IDLE_S = 1.0
@@ -49,7 +48,7 @@
     if grant.upstream in state.departed:
         attempt = replace(attempt, upstream=grant.upstream)
         return end_unreached(state, request, attempt)
-    if grant.limit_per_s == UNKNOWN_LIMIT and grant.upstream in state.limits:
+    if _is_unaware_of_limit(state, request, grant):
         return _return_grant(state, request, attempt, grant)
     if _ends_too_soon(state, grant):
         return _refuse_for_shutdown(state, request, attempt, grant)
@@ -89,6 +88,12 @@
     return end_pipe(state, release_body(request), Envelope(UPSTREAMS, upstream_request))
 
 
+def _is_unaware_of_limit(state, request, grant):
+    """Tell whether the owner has still to be told of a limit of the upstream."""
+    unaware = grant.limit_per_s == UNKNOWN_LIMIT and grant.upstream in state.limits
+    return unaware and len(request.attempts) < MAX_ATTEMPTS
+
+
 def _return_grant(state, request, attempt, grant):
     """Tell a new owner the limit of an upstream, and ask it once more."""
     limit_per_s = state.limits[grant.upstream]
--- a/comfreyusher/platform/_headers.py
+++ b/comfreyusher/platform/_headers.py
@@ -11,7 +11,7 @@
 RESPONSE_SEAL_HEADER = b"x-response-seal"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 LIMIT_HEADER = b"server-limit"
-LIMIT_PATTERN = re.compile(r"\d{1,9}(?:\.\d{1,9})?")
+LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 ADDED_HEADERS = frozenset(
     name.lower()
     for name in (REQUEST_ID_HEADER, DEADLINE_HEADER, EXPECT_INSTANCE_HEADER)
