Scenario: a quarantine outlives all nodes

All nodes are killed at once and started again; each still refuses the request that crashed upstreams, which it can only know from the store.

--- a/tests/scenarios/outcomes.feature
+++ b/tests/scenarios/outcomes.feature
@@ -37,6 +37,14 @@
     And 1 s pass
     Then every node refuses a booking that crashes upstreams
 
+  # Guards against a fleet that forgets a quarantine with its processes.
+  Scenario: a quarantine outlives all nodes
+    Given a fleet of 4 nodes before 6 upstreams
+    When a lookup that crashes upstreams is sent through node vm-1
+    And a lookup that crashes upstreams is sent through node vm-2
+    And all nodes are killed at once and started again
+    Then every node refuses a lookup that crashes upstreams
+
   Scenario: pipelined requests, a half-closed caller, and odd but valid heads
     Given a fleet of 1 nodes before 1 upstreams
     And the caller closes its side after sending
--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -418,6 +418,14 @@
         time.sleep(1.0)
 
 
+@then("every node refuses a lookup that crashes upstreams")
+def check_poison_lookup_refused(context):
+    for name in context.fleet.nodes:
+        response = send(context, name, "GET", "/sheets/poison", crash="yes")
+        assert response.status_code == 503, (name, response.status_code, response.text)
+        assert "quarantined" in response.text, response.text
+
+
 @then("every node refuses a booking that crashes upstreams")
 def check_poison_refused(context):
     for name in context.fleet.nodes:
@@ -629,6 +637,18 @@
     context.fleet.run_node(name, old_node.location, path)
 
 
+@when("all nodes are killed at once and started again")
+def restart_all_nodes(context):
+    fleet = context.fleet
+    old_nodes = dict(fleet.nodes)
+    for node in old_nodes.values():
+        node.process.send_signal(signal.SIGKILL)
+    for name, node in old_nodes.items():
+        fleet.stop_node(name, signal.SIGKILL)
+        fleet.run_node(name, node.location, node.settings_path)
+    fleet.wait_ready()
+
+
 @then("node {name} serves lookups within {seconds:g} s")
 def check_serves(context, name, seconds):
     def served():
