Let owners further down the ranking take little of an upstream's limit

Six owners at once, as after a burst in which nodes take themselves for the owner at last, passed 121 requests in 4 s where a limit of 10 a second allows 65 (test_many_owners_at_once_keep_to_the_limit with two and a half tokens for each owner but the first). The third and later ones take twenty tokens a request now.

--- a/comfreyusher/owner/_rate_limit.py
+++ b/comfreyusher/owner/_rate_limit.py
@@ -10,8 +10,9 @@
 
 BURST_REQUESTS = 1.0
 BURST_S = 0.1
-# The first owner may still be granting as well.
-SECOND_OWNER_COST = 2.5
+# Tokens that a request takes, by the rank of the owner that it asked. The owners
+# before it may still be granting as well, and all nodes ask themselves at last.
+TOKENS_BY_RANK = (1.0, 2.5, 20.0)
 
 
 def record_limit(group, report, now):
@@ -66,7 +67,8 @@
     limit = upstream.rate_limit
     if limit is None:
         return upstream
-    cost = SECOND_OWNER_COST if owner_rank else 1.0
+    last_rank = len(TOKENS_BY_RANK) - 1
+    cost = TOKENS_BY_RANK[min(owner_rank, last_rank)]
     tokens = count_tokens(limit, now) - cost
     limit = replace(limit, tokens=tokens, refilled_s=now)
     return replace(upstream, rate_limit=limit)
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -156,6 +156,15 @@
         upstream.run(12.0)
         self.assertLessEqual(upstream.most_in_window(), allowed(limit_per_s))
 
+    # Guards against many nodes that each take themselves for the owner at last.
+    def test_many_owners_at_once_keep_to_the_limit(self):
+        for seed in range(3):
+            upstream = LimitedUpstream(seed, 200.0, owners=6)
+            upstream.run(1.0)
+            upstream.limit_per_s = 10.0
+            upstream.run(8.0)
+            self.assertLessEqual(upstream.most_in_window(), allowed(10.0), seed)
+
     # Guards against a new owner that grants freely until it hears of the limit.
     def test_a_new_owner_learns_the_limit_before_it_grants(self):
         for seed in range(5):
