Scenario: nodes follow the list of upstreams past odd entries

Entries with a port of 5,000 digits, a host name, and numbers too large stand in the list; an upstream that says afterwards that it leaves gets nothing new.

--- a/tests/scenarios/health.feature
+++ b/tests/scenarios/health.feature
@@ -51,6 +51,9 @@
   Scenario: entries that name no upstream change nothing
     Given a fleet of 2 nodes before 3 upstreams
     When the list shows odd entries
+    And 1 s pass
+    And the list shows upstream up-1 as leaving
     And 2 s pass
     And 20 lookups are sent through every node
     Then every answer is 200 done
+    And upstream up-1 gets no new work
--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -43,7 +43,19 @@
 
 register_type(Node=parse_node, Word=parse_word)
 CUSTOMER = "kecskemet-tofu"
+ODD_ENTRY = {
+    "service": "orders",
+    "address": "127.0.0.1:1",
+    "zone": "nagyalfold-1",
+    "slots": 4,
+    "state": "ready",
+}
 INVALID_ENTRIES = (
+    {**ODD_ENTRY, "address": "127.0.0.1:" + "9" * 5000},
+    {**ODD_ENTRY, "address": "nowhere.example:80"},
+    {**ODD_ENTRY, "slots": 10**30},
+    {**ODD_ENTRY, "born": 2**80},
+    {**ODD_ENTRY, "warmup_left": "9" * 400 + "s"},
     {"service": "orders"},
     {"service": 7, "address": "127.0.0.1:1", "zone": "z", "slots": 4, "state": "ready"},
     {"service": "orders", "address": "nowhere", "zone": "z", "slots": 4, "state": "?"},
