--- a/tests/soak.py
+++ b/tests/soak.py
@@ -197,14 +197,15 @@
             self.fleet.run_node(name, node.location, node.settings_path)
 
     def inject_store_faults(self):
-        """Inject faults into the store, and compact it at times."""
+        """Inject faults into the store, compact it, and silence connections to it."""
         while not self.stopping.wait(self.random.uniform(3.0, 8.0)):
             self.last_store_fault_s = float("inf")
             self.fleet.platform.control(**self.random.choice(STORE_FAULTS))
             time.sleep(self.random.choice(FAULT_DURATIONS_S))
             self.fleet.platform.control(**STORE_FAULTS_OFF)
-            if self.random.random() < 0.5:
-                requests.post(f"{self.fleet.platform.url}/compact", timeout=10)
+            for action in ("compact", "silence"):
+                if self.random.random() < 0.5:
+                    requests.post(f"{self.fleet.platform.url}/{action}", timeout=10)
             self.last_store_fault_s = time.monotonic()
 
     def inject_upstream_faults(self):
