Hand crashes on to nodes that become holders since others leave

Found when the change was read again: holders told nodes that join, but not those that count a fingerprint from then on because a holder has left for good. After three such departures nobody knew of the crashes. Whoever becomes a holder is told. test_new_holders_know_what_those_that_leave_for_good_counted failed before.

--- a/comfreyusher/quarantine/_task.py
+++ b/comfreyusher/quarantine/_task.py
@@ -162,26 +162,28 @@
         self._publish()
 
     def handle_members_changed(self, changed):
-        """Send new nodes what this node counts or holds for them."""
-        known = {member.node for member in self.members}
-        self.members = changed.members
-        joined = [member for member in changed.members if member.node not in known]
-        if joined:
-            self._hand_over(joined)
-
-    def _hand_over(self, joined):
-        nodes = {member.node for member in joined}
+        """Hand on what this node counts to new holders, and tell new nodes the rest."""
+        before, self.members = self.members, changed.members
         for fingerprint, suspect in self.state.suspects.items():
-            for node in nodes & self._holders(fingerprint):
+            new_holders = self._holders(fingerprint) - _find_holders(
+                before, fingerprint
+            )
+            for node in new_holders:
                 for notice in suspect.notices.values():
                     self._send_twice(ToNode(node, notice))
+        known = {member.node for member in before}
+        joined = [member for member in self.members if member.node not in known]
+        if joined:
+            self._tell_quarantines(joined)
+
+    def _tell_quarantines(self, joined):
         for fingerprint, until_s in self.state.quarantined.items():
             holds = self.own.node in self._holders(fingerprint)
             if holds and until_s > self.clock():
                 self._spread(fingerprint, joined)
 
     def _holders(self, fingerprint):
-        return {member.node for member in choose_holders(self.members, fingerprint)}
+        return _find_holders(self.members, fingerprint)
 
     # Store -----------------------------------------------------------------------
 
@@ -223,3 +225,8 @@
         if not self.unsaved:
             self.ticking = False
             self.send_message("timers", Unsubscribe(CHANNEL, "tick"))
+
+
+def _find_holders(members, fingerprint):
+    """Return the ids of the nodes that count the crashes of a fingerprint."""
+    return {member.node for member in choose_holders(members, fingerprint)}
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -397,8 +397,8 @@
         "a new holder is told nothing",
         "poison request",
         "comfreyusher/quarantine/_task.py",
-        "        if joined:",
-        "        if False:",
+        "            for node in new_holders:",
+        "            for node in ():",
         "tests.test_quarantine",
     ),
     Mutation(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -91,11 +91,19 @@
         task.send_message = lambda channel, body: self.send(name, channel, body)
         self.tasks[name] = task
         self.refused[name] = set()
+        self.update_members()
+        if not self.store_is_down:
+            self.read_store(name)
+
+    def stop_node(self, name):
+        """Let a node leave for good."""
+        del self.tasks[name], self.refused[name]
+        self.update_members()
+
+    def update_members(self):
         members = tuple(task.own for task in self.tasks.values())
         for task in list(self.tasks.values()):
             task.handle_members_changed(MembersChanged(members))
-        if not self.store_is_down:
-            self.read_store(name)
 
     def read_store(self, name):
         records = tuple(
@@ -164,6 +172,17 @@
                 fleet.start_node(fleet.holders()[number])
         self.assertEqual(fleet.refusing_nodes(), set(fleet.tasks))
 
+    # Guards against crashes that leave the fleet with the nodes that counted them.
+    def test_new_holders_know_what_those_that_leave_for_good_counted(self):
+        fleet = Fleet(9)
+        fleet.store_is_down = True
+        for number in range(LIMIT - 1):
+            fleet.crash("vm-0", f"u{number}")
+        for name in fleet.holders():
+            fleet.stop_node(name)
+        fleet.crash(next(iter(fleet.tasks)), "u9")
+        self.assertEqual(fleet.refusing_nodes(), set(fleet.tasks))
+
     def test_lost_datagrams_are_made_up_for(self):
         for seed in range(20):
             fleet = Fleet(8, seed)
