Say once when an upstream must have responded before a node ends

Arrivals and grants computed the same time from the end of the node and its margin; it is a property of the entry's state now. No change of behaviour; 66 tests of the entry node pass.

--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -8,7 +8,6 @@
 )
 from comfreyusher.entry._grant_requests import begin_attempt
 from comfreyusher.entry._responses import send_error
-from comfreyusher.entry._state import SHUTDOWN_MARGIN_S
 from comfreyusher.flow import Envelope, continue_pipe, end_pipe, pipe, replace
 from comfreyusher.messages import Outcome, find_header
 from comfreyusher.platform import parse_caller_headers
@@ -107,7 +106,7 @@
     if caller_headers.deadline_ms is not None:
         limit_ms = min(limit_ms, caller_headers.deadline_ms)
     target_ms = min(limit_ms, route.target_ms or limit_ms)
-    last_s = state.ends_s - SHUTDOWN_MARGIN_S
+    last_s = state.last_response_s
     request = replace(
         request,
         deadline_s=min(last_s, request.arrived_s + limit_ms / 1000),
--- a/comfreyusher/entry/_grants.py
+++ b/comfreyusher/entry/_grants.py
@@ -16,10 +16,7 @@
     live_attempts,
     replace_attempt,
 )
-from comfreyusher.entry._state import (
-    SHUTDOWN_MARGIN_S,
-    AttemptPhase,
-)
+from comfreyusher.entry._state import AttemptPhase
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.messages import (
     UNKNOWN_LIMIT,
@@ -52,8 +49,7 @@
         return _return_grant(state, request, attempt, grant)
     if _ends_too_soon(state, grant):
         return _refuse_for_shutdown(state, request, attempt, grant)
-    last_s = min(request.deadline_s, state.ends_s - SHUTDOWN_MARGIN_S)
-    remaining_s = last_s - state.now_s
+    remaining_s = min(request.deadline_s, state.last_response_s) - state.now_s
     is_refused = remaining_s <= 0 or is_quarantined(state, request)
     attempt = replace(
         attempt,
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -174,6 +174,11 @@
     now_s: float = 0.0
     running_s: float = 0.0
 
+    @property
+    def last_response_s(self):
+        """When an upstream must have responded, so that this node can still answer."""
+        return self.ends_s - SHUTDOWN_MARGIN_S
+
 
 class PendingReport:
     """A report that its owner has not acknowledged yet.
