--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from common.wire import build_response, read_request
+from common.wire import Request, build_response, read_body, read_head
 
 HEARTBEAT_S = 1.5
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -14,7 +14,9 @@
 
     ``run`` is a coroutine function that gets this backend, a request and the writer
     of its connection; it does the work and returns a status, headers and a body, or
-    ``None`` once it has written the answer itself.
+    ``None`` once it has written the answer itself. A request for which
+    ``answers_early`` returns true is answered before its body has been read; how many
+    bytes of such bodies came stands in ``bodies``, by the ids of the requests.
     """
 
     def __init__(self, world, name, service, run, slots=4):
@@ -31,6 +33,9 @@
         self.beating = None
         self.busy = 0
         self.writers = set()
+        self.answers_early = lambda headers: False
+        self.early_ids = set()
+        self.bodies = {}
 
     async def start(self, host, port):
         """Begin to serve, and register this backend."""
@@ -72,7 +77,7 @@
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         try:
-            while (request := await read_request(reader, self._on_head)) is not None:
+            while (request := await self._read(reader, writer)) is not None:
                 await self._answer(request, writer)
                 await writer.drain()
         except (OSError, EOFError, asyncio.CancelledError):
@@ -81,9 +86,44 @@
             self.writers.discard(writer)
             writer.close()
 
-    def _on_head(self, headers):
-        if self.world.on_head is not None:
-            self.world.on_head(self.name, headers)
+    async def _read(self, reader, writer):
+        """Return the next request that is to be answered after it was read."""
+        while True:
+            head = await read_head(reader)
+            if head is None:
+                return None
+            line, headers = head
+            if self.world.on_head is not None:
+                self.world.on_head(self.name, headers)
+            if not self.answers_early(headers):
+                method, target, _ = line.split(" ", 2)
+                return Request(
+                    method, target, headers, await read_body(reader, headers)
+                )
+            await self._answer_early(headers, reader, writer)
+
+    async def _answer_early(self, headers, reader, writer):
+        """Accept an upload, and read its body on the kept connection after that."""
+        request_id = headers["x-request-id"]
+        self.early_ids.add(request_id)
+        answered = {"X-Request-Id": request_id, "X-Response-Seal": SEAL}
+        writer.write(build_response(200, answered, b"accepted"))
+        self.world.record(f"run id={request_id} on={self.name}, answered 200 early")
+        expected, size, error = int(headers["content-length"]), 0, ""
+        try:
+            while size < expected:
+                part = await reader.read(min(65536, expected - size))
+                if not part:
+                    raise EOFError("the connection was closed")
+                size += len(part)
+        except (OSError, EOFError) as cut:
+            error = f"{type(cut).__name__}: {cut}"
+            raise
+        finally:
+            self.bodies[request_id] = size
+            self.world.record(
+                f"body id={request_id} on={self.name}: {size} of {expected} {error}"
+            )
 
     async def _answer(self, request, writer):
         headers = {"X-Instance-Id": self.name}
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -74,16 +74,11 @@
         await reader.readexactly(2)
 
 
-async def read_request(reader, on_head=None):
-    """Return the next ``Request`` of a connection, or ``None`` at its end.
-
-    ``on_head`` is called with the headers as soon as they are there.
-    """
+async def read_request(reader):
+    """Return the next ``Request`` of a connection, or ``None`` at its end."""
     head = await read_head(reader)
     if head is None:
         return None
-    if on_head is not None:
-        on_head(head[1])
     method, target, _ = head[0].split(" ", 2)
     return Request(method, target, head[1], await read_body(reader, head[1]))
 
