--- a/review/common/world.py
+++ b/review/common/world.py
@@ -64,6 +64,8 @@
         self.upstreams = []
         self.runs = []
         self.on_head = None
+        self.bookings = []
+        self.tasks = set()
         self.started_s = time.monotonic()
         self.log = open(folder / "record.txt", "w", encoding="utf-8")
         self.scratch = tempfile.TemporaryDirectory(prefix="review-")
@@ -75,6 +77,13 @@
         self.log.write(f"{now_s:8.3f} {text}\n")
         self.log.flush()
 
+    def later(self, coroutine):
+        """Run a coroutine beside the case, and return its task."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
     # Starting --------------------------------------------------------------
 
     async def start(self, node_count, routes):
