--- a/comfreyusher/declarations/__init__.py
+++ b/comfreyusher/declarations/__init__.py
@@ -11,6 +11,7 @@
 )
 from comfreyusher.declarations._model import (
     KINDS,
+    ClientAccount,
     Customer,
     Detection,
     Part,
@@ -34,6 +35,7 @@
 )
 
 __all__ = [
+    "ClientAccount",
     "FORMAT",
     "KINDS",
     "Conflict",
--- a/comfreyusher/declarations/_model.py
+++ b/comfreyusher/declarations/_model.py
@@ -146,6 +146,9 @@
     parts: tuple[Part, ...] = optional_field(
         (), "Services that share the requests; empty: the declaring service."
     )
+    public: bool = optional_field(
+        False, "True: requests need no key of a client account."
+    )
 
     def check(self):
         """Yield faults that need more than one field."""
@@ -154,18 +157,35 @@
                 yield "methods", f"{method!r} is not a known method"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A party that sends requests under its keys, within a rate of the whole fleet.
+
+    ``priority`` goes before that of the route; 0 is the highest. A ``rate_per_s`` of 0
+    means no limit; ``burst`` is how many requests may come at once beyond it.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformConfiguration:
-    """Routes and limits that the platform's operator published.
+    """Routes, limits and client accounts that the platform's operator published.
 
     ``idle_timeout_ms`` is how long a caller may keep an idle connection, 0 if
-    the configuration does not set it.
+    the configuration does not set it. Without ``client_accounts`` no request needs a
+    key of one.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[str, ...] = ()
     idle_timeout_ms: int = 0
+    client_accounts: tuple[ClientAccount, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -156,6 +156,7 @@
         avoided_upstreams,
         format_context(request.trace) if request.trace.sampled else "",
         conditions.max_risk,
+        client_account=request.client_account.name if request.client_account else "",
     )
 
 
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -10,6 +10,7 @@
 
 import immutables
 
+from comfreyusher.declarations import ClientAccount
 from comfreyusher.membership import Ownership
 from comfreyusher.messages import GrantRequest, RequestStart, ResponseHead
 from comfreyusher.platform import UpstreamHeaders
@@ -102,7 +103,8 @@
     error response of an upstream, ``held_responses`` at most one response that
     waits for the replication of the account entry. ``replication_finished`` is set
     even if no node acknowledged the replica in time. ``held_for_body`` tells that
-    the request waits for the part of its body that the fingerprint covers.
+    the request waits for the part of its body that the fingerprint covers,
+    ``held_for_token`` that it waits for a token of its client account's rate.
     """
 
     exchange: int
@@ -132,6 +134,8 @@
     replication_finished: bool = False
     held_responses: tuple = ()
     held_for_body: bool = False
+    client_account: ClientAccount | None = None
+    held_for_token: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/messages/_grants.py
+++ b/comfreyusher/messages/_grants.py
@@ -80,7 +80,8 @@
     With ``no_wait`` only an upstream with a free slot is wanted, and only one
     whose estimated probability to fail the request is at most ``max_risk``.
     ``other_loads`` are the requests that the entry node has in flight on upstreams
-    of the group by grants of other owners.
+    of the group by grants of other owners. ``client_account`` is the name of the
+    caller's client account, or empty; the rank in ``priority`` includes its priority.
     """
 
     node: str
@@ -106,6 +107,7 @@
     trace_parent: str = ""
     max_risk: float = 1.0
     other_loads: tuple[UpstreamLoad, ...] = ()
+    client_account: str = ""
 
     @property
     def key(self):
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -111,10 +111,11 @@
     return departed
 
 
-def derive_plans(state, table):
+def derive_plans(state, table, fair_sharing=False):
     """Return the state with a plan for every group that has upstreams.
 
-    A plan whose profile, slots, slack and upstreams are unchanged is kept as it is.
+    A plan whose profile, slots, slack, sharing and upstreams are unchanged is kept as
+    it is.
     """
     group_counts = {}
     for group, specs in state.specs_by_group.items():
@@ -134,7 +135,8 @@
             * RETRY_SLACK_SAFETY_FACTOR
             / group_counts[service]
         )
-        plans[group] = _derive_plan(state, group, profile, slots, specs, slack)
+        plan = Plan(group, profile, slots, (), slack, fair_sharing)
+        plans[group] = _derive_plan(state, plan, specs)
     return dataclasses.replace(
         state, plans=immutables.Map(plans), planned_specs=immutables.Map(planned_specs)
     )
@@ -152,16 +154,15 @@
     return sum(spec.slots for spec in specs.values() if not spec.leaving)
 
 
-def _derive_plan(state, group, profile, slots, specs, slack):
-    previous = state.plans.get(group)
-    if previous is not None and state.planned_specs.get(group) is specs:
-        same_slots = (
-            previous.configured_slots == slots and previous.budget_slack == slack
-        )
-        if previous.profile is profile and same_slots:
+def _derive_plan(state, plan, specs):
+    """Return the plan with the upstreams of ``specs``, or the previous equal one."""
+    previous = state.plans.get(plan.group)
+    if previous is not None and state.planned_specs.get(plan.group) is specs:
+        without_upstreams = dataclasses.replace(previous, upstream_specs=())
+        if previous.profile is plan.profile and without_upstreams == plan:
             return previous
     upstream_specs = tuple(sorted(specs.values(), key=lambda spec: spec.name))
-    return Plan(group, profile, slots, upstream_specs, slack)
+    return dataclasses.replace(plan, upstream_specs=upstream_specs)
 
 
 def derive_groups(plans):
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -44,6 +44,7 @@
     set_published_routes,
     update_table,
 )
+from comfreyusher.settings import Switch
 from comfreyusher.telemetry import UpstreamEjected
 
 CHANNEL = "node"
@@ -185,7 +186,8 @@
         )
 
     def _update_plans(self):
-        self.plan_state = derive_plans(self.plan_state, self.table)
+        fair_sharing = self.settings.fleet.fair_sharing is Switch.ON
+        self.plan_state = derive_plans(self.plan_state, self.table, fair_sharing)
         self.send_message("owner", PlansUpdated(self.plan_state.plans))
         self._send_node_view()
 
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -46,7 +46,8 @@
     """Configuration and registered upstreams of a group.
 
     ``configured_slots`` are the slots that the floor is a share of.
-    ``budget_slack`` is the group's part of the retry slack of its service.
+    ``budget_slack`` is the group's part of the retry slack of its service. With
+    ``fair_sharing`` the flows of a rank share the group when room is short.
     """
 
     group: str
@@ -54,6 +55,7 @@
     configured_slots: int
     upstream_specs: tuple = ()
     budget_slack: int = 0
+    fair_sharing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/settings/_model.py
+++ b/comfreyusher/settings/_model.py
@@ -84,6 +84,13 @@
     OPTIONAL = "optional"
 
 
+class Switch(str, enum.Enum):
+    """Whether a feature is in use."""
+
+    ON = "on"
+    OFF = "off"
+
+
 @dataclasses.dataclass(frozen=True)
 class TlsSettings:
     """TLS of one listener, on by default."""
@@ -265,14 +272,29 @@
     floor_share: Fraction = optional_field(
         0.5, "Share of a service's slots that ejection must leave healthy."
     )
+    fair_sharing: Switch = optional_field(
+        Switch.OFF,
+        "On: client accounts and routes of a rank share a service by their work "
+        "when room is short.",
+    )
+    quota_window: Duration = optional_field(
+        "5s", "Window in which the rate of a client account is counted."
+    )
+    quota_overshoot: Fraction = optional_field(
+        0.1, "Requests beyond a client account's rate allowed in a window, as a share."
+    )
+    quota_slack: Annotated[float, Meta(ge=0)] = optional_field(
+        20.0, "Requests beyond that rate and share allowed in a window."
+    )
 
     def check(self):
         """Yield faults of the seeds."""
         for name in ("seeds", "gossip_seeds"):
             for seed in getattr(self, name):
                 yield from check_address(name, seed)
-        if not parse_duration_ms(self.retry_window):
-            yield "retry_window", "must be at least 1ms"
+        for name in ("retry_window", "quota_window"):
+            if not parse_duration_ms(getattr(self, name)):
+                yield name, "must be at least 1ms"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_deploy_template.py
+++ b/tests/test_deploy_template.py
@@ -15,7 +15,12 @@
     ShutdownTimes,
     derive_shutdown_times,
 )
-from comfreyusher.settings import Settings, ShutdownSettings, parse_duration_ms
+from comfreyusher.settings import (
+    Settings,
+    ShutdownSettings,
+    Switch,
+    parse_duration_ms,
+)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TEMPLATE = (ROOT / "deploy" / "node.json.template").read_text()
@@ -32,8 +37,15 @@
             value = value[int(name)] if isinstance(value, list) else value[name]
         return value
 
+    def find_items(path):
+        try:
+            value = find(path)
+        except KeyError:
+            return []
+        return value if isinstance(value, list) else [value]
+
     def fill_section(match):
-        items = find(match[1])
+        items = find_items(match[1])
         texts = [match[2].replace("{{.}}", str(item)) for item in items]
         return "".join(
             text.replace("{{,}}", "," if index < len(items) - 1 else "")
@@ -116,6 +128,17 @@
         self.assertLessEqual(retries.budget_slack, bounds["budget_slack"])
         self.assertEqual(retries.window_ms, parse_duration_ms(bounds["retry_window"]))
 
+    @given(window=durations(100, 60_000), overshoot=SHARES, slack=NUMBERS)
+    def test_quotas_switch_fair_sharing_on(self, window, overshoot, slack):
+        # Guards against quotas in the terms that the settings ignore or reject.
+        quota = {"quota_window": window, "quota_overshoot": overshoot}
+        fleet = load(**quota, quota_slack=slack).fleet
+        self.assertIs(fleet.fair_sharing, Switch.ON)
+        self.assertEqual(fleet.quota_window, window)
+        self.assertEqual(fleet.quota_overshoot, overshoot)
+        self.assertEqual(fleet.quota_slack, slack)
+        self.assertIs(load().fleet.fair_sharing, Switch.OFF)
+
     def test_the_bound_of_a_shutdown_comes_from_the_platform(self):
         for grace, drain_timeout_s in (("6s", 2.7), ("10s", 6.7), ("6.5s", 3.2)):
             times = derive_shutdown_times(load(grace=grace).shutdown)
