--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,6 +9,7 @@
 from comfreyusher.flow import Closed, Connected, Received
 from comfreyusher.http import HttpClientTask
 from comfreyusher.messages import (
+    ClientRequestBody,
     ClientRequestFailed,
     ClientRequestStart,
     ClientResponseBody,
@@ -229,3 +230,81 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ResponseDuringUploadTests(ClientCase):
+    """A server responds without a length while the request is still being sent."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+    def start_upload(self, sent_parts):
+        """Send the start of an upload that does not end; return its connection."""
+        head = RequestHead("POST", "/a", ((b"Host", b"h"),))
+        self.client.handle_request_start(
+            ClientRequestStart("r1", "10.0.0.9", 80, head, b"a", ended=False)
+        )
+        number = self.client.number_by_exchange["r1"]
+        self.client.on_connected(Connected(number))
+        for part in sent_parts:
+            self.client.handle_request_body(ClientRequestBody("r1", part))
+        return number
+
+    def assert_is_cut(self):
+        """Assert that no response has ended, and that the request has failed."""
+        ended = [
+            body
+            for body in self.client.sent_messages
+            if isinstance(body, ClientResponseStart | ClientResponseBody) and body.ended
+        ]
+        self.assertEqual(ended, [])
+        self.assertEqual(len(self.pop_messages(ClientRequestFailed)), 1)
+
+    # Guards against a part of a response that callers take for the whole: the server
+    # closes while bytes of the upload are on the way, so its connection is reset.
+    @given(
+        sent_parts=st.lists(st.binary(min_size=1, max_size=70_000), max_size=3),
+        body_parts=st.lists(st.binary(min_size=1, max_size=300_000), max_size=3),
+        is_reset=st.booleans(),
+    )
+    def test_a_response_cut_during_an_upload_is_not_complete(
+        self, sent_parts, body_parts, is_reset
+    ):
+        self.setUp()
+        number = self.start_upload(sent_parts)
+        for data in (self.HEAD, *body_parts):
+            self.receive(number, data)
+        if is_reset:
+            self.client.on_closed(Closed(number, True, "ECONNRESET"))
+        else:
+            self.receive(number, b"")
+        self.assert_is_cut()
+
+    # Guards against the opposite fault: a response without a length to a request that
+    # was sent as a whole is complete when the server closes.
+    def test_a_response_to_a_whole_request_ends_with_the_connection(self):
+        number = self.send("r1")
+        self.receive(number, self.HEAD + b"whole")
+        self.receive(number, b"")
+        last = self.pop_messages(ClientResponseStart, ClientResponseBody)[-1]
+        self.assertTrue(last.ended)
+
+    # Guards against the same fault while the last bytes wait in this process.
+    def test_a_response_is_cut_while_bytes_of_the_request_wait(self):
+        number = self.send("r1")
+        self.client.unsent_bytes = lambda number: 1
+        self.receive(number, self.HEAD + b"part")
+        self.receive(number, b"")
+        self.assert_is_cut()
+
+
+class FinalStatusTests(ClientCase):
+    """A server in trouble sends a status that HTTP does not have."""
+
+    # Guards against callers that get 000, 099 or 600 as an answer.
+    @given(status=st.integers(0, 999).filter(lambda s: not 100 <= s < 600))
+    def test_only_final_statuses_are_responses(self, status):
+        self.setUp()
+        number = self.send("r1")
+        self.receive(number, b"HTTP/1.1 %03d X\r\nContent-Length: 0\r\n\r\n" % status)
+        self.assertEqual(self.pop_messages(ClientResponseStart), [])
+        self.assertNotIn(number, self.client.states)
