--- a/comfreyusher/http/_client.py
+++ b/comfreyusher/http/_client.py
@@ -13,6 +13,7 @@
 from comfreyusher.http._encode import encode_chunk, encode_request_head
 from comfreyusher.http._errors import HttpError
 from comfreyusher.http._parse import (
+    INTERIM_STATUSES,
     BodyData,
     MatchedRequest,
     ParsedHead,
@@ -251,7 +252,7 @@
             self.abort(event.connection)
             return
         try:
-            events = self._parse(state, event.data)
+            events = self._parse(event.connection, state, event.data)
         except HttpError as error:
             log_info(
                 self.channel, "reply refused", server=state.address, reason=str(error)
@@ -266,8 +267,17 @@
                 "the reply was cut",
             )
 
-    def _parse(self, state, data):
-        return state.parser.feed(data) if data else state.parser.feed_eof()
+    def _parse(self, number, state, data):
+        """Return the events of received bytes, or of EOF if there are none.
+
+        A response that ends with its connection is complete only if its request was
+        sent as a whole: the rest of the request would reset the connection.
+        """
+        if data:
+            return state.parser.feed(data)
+        if state.request_ended and not self.unsent_bytes(number):
+            return state.parser.feed_eof()
+        return []
 
     def on_closed(self, event):
         state = self.states.pop(event.connection, None)
@@ -297,7 +307,7 @@
         parts = []
         for event in events:
             if isinstance(event, ParsedHead):
-                if 100 <= event.head.status < 200:
+                if event.head.status in INTERIM_STATUSES:
                     self._deliver_interim(state, event.head)
                     continue
                 head = event
--- a/comfreyusher/http/_parse.py
+++ b/comfreyusher/http/_parse.py
@@ -15,6 +15,8 @@
 
 METHODS_WITHOUT_RESPONSE_BODY = ("HEAD",)
 STATUSES_WITHOUT_BODY = (204, 304)
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 MAX_NO_PROGRESS_BYTES = 1 << 18
 
 
@@ -265,13 +267,15 @@
         if self.ended:
             return
         status = self.parser.get_status_code()
+        if status not in INTERIM_STATUSES and status not in FINAL_STATUSES:
+            raise HttpError(502, f"status {status:03d} is no status of HTTP")
         head = ResponseHead(status, tuple(self.headers), self.reason.decode("latin-1"))
-        if status >= 200 and self._is_for_other_request(head):
+        if status in FINAL_STATUSES and self._is_for_other_request(head):
             self.skipping = True
             return
         keep_alive = self.parser.should_keep_alive()
         self.events.append(ParsedHead(head, keep_alive))
-        if 100 <= status < 200:
+        if status in INTERIM_STATUSES:
             return
         self.in_head = False
         if self.without_body or status in STATUSES_WITHOUT_BODY:
