--- a/comfreyusher/declarations/_model.py
+++ b/comfreyusher/declarations/_model.py
@@ -162,11 +162,12 @@
     """A party that sends requests under its keys, within a rate of the whole fleet.
 
     ``priority`` goes before that of the route; 0 is the highest. A ``rate_per_s`` of 0
-    means no limit; ``burst`` is how many requests may come at once beyond it.
+    means no limit; ``burst`` is how many requests may come at once beyond it. The
+    text of an account has no keys, so that none is logged.
     """
 
     name: str
-    keys: tuple[str, ...] = ()
+    keys: tuple[str, ...] = dataclasses.field(default=(), repr=False)
     priority: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -1,6 +1,7 @@
 """The pipe of a new request, up to the grant request to the owner of a group."""
 
 from comfreyusher.accounts import AccountEntry, RequestAccepted
+from comfreyusher.entry._client_accounts import identify_client_account
 from comfreyusher.entry._fingerprint import (
     compute_fingerprint,
     may_be_quarantined,
@@ -15,6 +16,7 @@
     find_customer,
     find_customer_by_host,
     find_route,
+    has_client_accounts,
     has_routes,
 )
 
@@ -56,7 +58,7 @@
 def identify_customer(state, request):
     """Find the customer by the key in the request, or by its host."""
     head = request.start.head
-    value = find_header(head, AUTHORIZATION) or ""
+    value = _find_credentials(state, head)
     if value.lower().startswith(BEARER):
         customer = find_customer(state.table, value[len(BEARER) :].strip())
     else:
@@ -67,6 +69,20 @@
     return continue_pipe(state, replace(request, customer=customer or ""))
 
 
+def _find_credentials(state, head):
+    """Return the value of ``Authorization`` that may hold a customer's key.
+
+    Where requests carry the key of a client account, a customer's key may stand in
+    another ``Authorization`` beside it.
+    """
+    if has_client_accounts(state.table):
+        for name, value in head.headers:
+            text = value.decode("latin-1").strip()
+            if name.lower() == AUTHORIZATION and text.lower().startswith(BEARER):
+                return text
+    return find_header(head, AUTHORIZATION) or ""
+
+
 def open_account(state, request):
     """Begin an entry for the request in its customer's account."""
     if not request.customer:
@@ -127,6 +143,7 @@
     require_configuration,
     identify_customer,
     find_service,
+    identify_client_account,
     open_account,
     set_deadline,
     wait_for_body,
--- a/comfreyusher/entry/_body.py
+++ b/comfreyusher/entry/_body.py
@@ -1,14 +1,17 @@
 """Decisions on the parts of a request body that follow its head."""
 
+from comfreyusher.entry._client_accounts import identify_client_account
 from comfreyusher.entry._fingerprint import compute_fingerprint, is_complete
 from comfreyusher.entry._grant_requests import begin_attempt, live_attempts
 from comfreyusher.entry._responses import CALLERS
 from comfreyusher.entry._state import AttemptPhase
-from comfreyusher.flow import Envelope, end_pipe, replace
+from comfreyusher.flow import Envelope, end_pipe, pipe, replace
 from comfreyusher.messages import ClientRequestBody, RequestCredit
 
 UPSTREAMS = "upstreams"
 MAX_BUFFERED_BODY_BYTES = 1 << 20
+# The key may have been removed while the request waited for its body.
+RELEASE_PIPE = pipe(identify_client_account, begin_attempt)
 
 
 def credit_caller(request, size_bytes):
@@ -40,7 +43,7 @@
     if not was_complete and request.fingerprint:
         request = replace(request, fingerprint=compute_fingerprint(request))
     if request.held_for_body and is_complete(request):
-        step = begin_attempt(state, replace(request, held_for_body=False))
+        step = RELEASE_PIPE(state, replace(request, held_for_body=False))
         return end_pipe(step.state, step.item, *credits, *step.messages)
     return end_pipe(state, request, *credits, *sends)
 
--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -2,6 +2,7 @@
 
 import immutables
 
+from comfreyusher.entry._client_accounts import rank_request
 from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._messages import SendReport
 from comfreyusher.entry._owners import (
@@ -143,7 +144,7 @@
         rank,
         route.idempotent,
         route.large,
-        route.priority,
+        rank_request(state, request),
         max(0, int((request.deadline_s - state.now_s) * 1000)),
         max(0, int((request.target_s - state.now_s) * 1000)),
         request.sends,
--- a/comfreyusher/entry/_grants.py
+++ b/comfreyusher/entry/_grants.py
@@ -8,6 +8,7 @@
     find_attempt,
 )
 from comfreyusher.entry._body import UPSTREAMS, release_body
+from comfreyusher.entry._client_accounts import name_account
 from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._grant_requests import (
     MAX_ATTEMPTS,
@@ -73,6 +74,7 @@
         grant.upstream,
         int(remaining_s * 1000),
         request.request_id,
+        name_account(state, request),
     )
     non_idempotent = not request.match.route.idempotent
     cross_region = attempt.region != state.region
--- a/comfreyusher/entry/_responses.py
+++ b/comfreyusher/entry/_responses.py
@@ -20,6 +20,7 @@
 REQUEST_ID_HEADER = b"Request-Id"
 UPSTREAM_HEADER = b"Comfreyusher-Upstream"
 RETRY_AFTER_HEADER = b"Retry-After"
+KEY_CHALLENGE = (b"WWW-Authenticate", b"Token")
 OWN_HEADER_NAMES = frozenset(
     name.lower() for name in (OUTCOME_HEADER, REQUEST_ID_HEADER, UPSTREAM_HEADER)
 )
@@ -48,6 +49,8 @@
     if retry_after_ms and outcome is Outcome.NOT_RUN:
         seconds = f"{retry_after_ms / 1000:.2f}".encode()
         headers.append((RETRY_AFTER_HEADER, seconds))
+    if request.key_fault:
+        headers.append(KEY_CHALLENGE)
     text = f"{reason} ({outcome.value})"
     head, body = build_text_response(status, text, headers)
     return (Envelope(CALLERS, ResponseStart(request.exchange, head, body, ended=True)),)
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -30,6 +30,14 @@
     ENDED = "ended"
 
 
+class KeyFault(str, enum.Enum):
+    """Why a request has no client account."""
+
+    NONE = ""
+    MISSING = "missing"
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamGroup:
     """A group of upstreams: its name and its region."""
@@ -105,6 +113,7 @@
     even if no node acknowledged the replica in time. ``held_for_body`` tells that
     the request waits for the part of its body that the fingerprint covers,
     ``held_for_token`` that it waits for a token of its client account's rate.
+    ``key_fault`` tells why it was rejected for want of a known key.
     """
 
     exchange: int
@@ -136,6 +145,7 @@
     held_for_body: bool = False
     client_account: ClientAccount | None = None
     held_for_token: bool = False
+    key_fault: KeyFault = KeyFault.NONE
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -19,6 +19,8 @@
 from comfreyusher.entry._body import add_body, credit_caller, handle_request_credit
 from comfreyusher.entry._grant_requests import live_attempts, repeat_grant_request
 from comfreyusher.entry._grants import handle_grant
+from comfreyusher.entry._key_refusals import KeyRefusals
+from comfreyusher.entry._log import log_answered
 from comfreyusher.entry._messages import (
     EndRequests,
     NodeView,
@@ -94,6 +96,9 @@
         self.reports = ReportSender(
             lambda channel, body: self.send_message(channel, body)
         )
+        self.key_refusals = KeyRefusals(
+            lambda channel, body: self.send_message(channel, body)
+        )
         self.ticking = False
         self.tick_monitor = TickMonitor(self.clock())
         self.starting = True
@@ -186,29 +191,14 @@
             self.run(release_held_response, request, finished)
 
     def handle_request_finished(self, finished):
-        """Drop a finished request and log its outcome."""
+        """Drop a finished request, and log its outcome or count its refusal."""
         request = self.requests.pop(finished.exchange, None)
         if request is None:
             return
-        last = request.attempts[-1] if request.attempts else None
-        took_ms = round((self.state.now_s - request.arrived_s) * 1000, 1)
-        log_info(
-            PART,
-            "answered",
-            request=request.request_id,
-            number=request.exchange,
-            outcome=finished.outcome.value,
-            status=finished.status,
-            reason=finished.reason,
-            service=request.match.service if request.match else "",
-            attempts=len(request.attempts),
-            tried=request.tried_upstreams,
-            upstream=last.upstream if last else "",
-            owner=last.owner if last else "",
-            version=self.state.table.version,
-            sent_ms=_since_arrival_ms(request, last),
-            took_ms=took_ms,
-        )
+        if request.key_fault:
+            self.key_refusals.count(request, self.state.now_s)
+        else:
+            log_answered(self.state, request, finished)
 
     # Callers -----------------------------------------------------------------
 
@@ -357,7 +347,8 @@
             self._check_request(request, state)
         running_s = self.tick_monitor.running_s(now)
         self.reports.resend(running_s, self.state.draining)
-        if not self.requests and not self.reports:
+        self.key_refusals.report_if_due(now)
+        if not self.requests and not self.reports and not self.key_refusals:
             self.ticking = False
             self.send_message("timers", Unsubscribe(CHANNEL, "tick"))
             self.state = drop_expired(self._state_at(now))
@@ -391,10 +382,3 @@
                 group=attempt.grant_request.group,
                 owner=attempt.owner,
             )
-
-
-def _since_arrival_ms(request, attempt):
-    """Return the ms from the arrival until an attempt was sent, or ``None``."""
-    if attempt is None or not attempt.sent_s:
-        return None
-    return round((attempt.sent_s - request.arrived_s) * 1000, 1)
--- a/comfreyusher/feeds/_relay.py
+++ b/comfreyusher/feeds/_relay.py
@@ -16,7 +16,8 @@
 STORE_DELAY_SHARE = 0.3
 STORE_DELAY_JITTER_SHARE = 0.2
 COMPRESSION_LEVEL = 1  # the fastest
-MAX_RECORD_BYTES = 16 << 20
+# A configuration of 33,000 routes and 48,000 client accounts has 19 MB.
+MAX_RECORD_BYTES = 32 << 20
 
 
 def find_parent(node, data_centre_nodes, reader):
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -248,16 +248,17 @@
     faults: tuple = ()
 
 
-def apply_configuration(current, records):
+def apply_configuration(current, records, account_decoder=None):
     """Return the ``ConfigurationResult`` of some records.
 
     The newest one that can be read counts, and an older version never replaces a
-    newer one. ``current`` is ``None`` before the first one.
+    newer one. ``current`` is ``None`` before the first one. An ``account_decoder``
+    keeps the client accounts that did not change.
     """
     faults = []
     for record in find_configurations(records):
         try:
-            newest = decode_configuration(record.value)
+            newest = decode_configuration(record.value, account_decoder)
         except DecodeError as error:
             faults.append(str(error))
             continue
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -14,7 +14,7 @@
 from comfreyusher.documents import DocumentError
 from comfreyusher.entry import EndRequests, NodeView
 from comfreyusher.events import log_info, log_warning
-from comfreyusher.feeds import ConfigurationChanged, RegionChanged, UpstreamsChanged
+from comfreyusher.feeds import ConfigurationChanged, UpstreamsChanged
 from comfreyusher.flow import Subscribe, Task, Tick, replace
 from comfreyusher.http import IdleTimeout
 from comfreyusher.membership import (
@@ -24,11 +24,13 @@
     SeedsFound,
     update_ownership,
 )
+from comfreyusher.node._configuration_loader import TICK_NAME, ConfigurationLoader
 from comfreyusher.node._plans import (
     PlanState,
     choose_replica_node,
     derive_groups,
     derive_plans,
+    derive_region,
     update_departures,
     update_upstream_specs,
 )
@@ -41,7 +43,6 @@
 from comfreyusher.routing import (
     RoutingTable,
     has_routes,
-    set_published_routes,
     update_table,
 )
 from comfreyusher.settings import Switch
@@ -96,6 +97,9 @@
         self.was_ready = False
         self.upstreams = {}
         self.members = ()
+        self.loader = ConfigurationLoader(
+            CHANNEL, lambda *args: self.send_message(*args)
+        )
         self.table = RoutingTable(default_profile=default_profile(settings.fleet))
         self.plan_state = PlanState()
         self.ownership = Ownership()
@@ -132,10 +136,17 @@
         self._send_status()
 
     def handle_configuration_changed(self, changed):
-        """Use a newer configuration from the platform's operator."""
-        configuration = changed.configuration
+        """Load a newer configuration from the platform's operator."""
+        self.loader.start(changed.configuration)
+        self._load_configuration()
+
+    def _load_configuration(self):
+        """Use the configuration once it is loaded."""
+        table = self.loader.advance(self.table)
+        if table is None:
+            return
+        self.table, configuration = table, self.loader.configuration
         self.published_version = configuration.version
-        self.table = set_published_routes(self.table, configuration)
         if configuration.idle_timeout_ms:
             idle_s = configuration.idle_timeout_ms / 1000 + IDLE_MARGIN_S
             self.send_message("callers", IdleTimeout(idle_s))
@@ -165,7 +176,7 @@
         addresses = PeerAddresses(streams, datagrams)
         self.send_message("peers", addresses)
         self.send_message("datagrams", addresses)
-        self.send_message("feeds", self._build_region_changed(changed.members))
+        self.send_message("feeds", derive_region(self.own, changed.members))
         self.send_message("departures", changed)
         self.send_message("directory", changed)
         self.send_message("quarantine", changed)
@@ -177,14 +188,6 @@
         )
         self._send_node_view()
 
-    def _build_region_changed(self, members):
-        own = self.own
-        region = [record for record in members if record.region == own.region]
-        data_centre_nodes = [r.node for r in region if r.data_centre == own.data_centre]
-        return RegionChanged(
-            tuple(record.node for record in region), tuple(data_centre_nodes)
-        )
-
     def _update_plans(self):
         fair_sharing = self.settings.fleet.fair_sharing is Switch.ON
         self.plan_state = derive_plans(self.plan_state, self.table, fair_sharing)
@@ -253,12 +256,14 @@
     # Time ----------------------------------------------------------------------
 
     def handle_tick(self, tick):
-        """Send the status, reload the settings, or continue the shutdown."""
+        """Send the status, reload the settings, load more, or end further."""
         if tick.name == "status":
             self._send_status()
         elif tick.name == "settings":
             self._refresh_secrets()
             self._reload_settings("file")
+        elif tick.name == TICK_NAME:
+            self._load_configuration()
         else:
             self._continue_shutdown(tick.now_s)
 
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -16,17 +16,19 @@
     RecordsRead,
     Topic,
 )
+from comfreyusher.platform._client_accounts import AccountDecoder
 from comfreyusher.platform._decode import (
-    DecodeError,
     decode_configuration,
     decode_duration,
     decode_upstream,
     find_configurations,
 )
+from comfreyusher.platform._errors import DecodeError
 from comfreyusher.platform._headers import (
     CallerHeaders,
     build_request_id_headers,
     build_upstream_head,
+    find_account_keys,
     parse_caller_headers,
 )
 from comfreyusher.platform._task import PlatformTask
@@ -37,6 +39,7 @@
 
 __all__ = [
     "ANY_END_OFFSET",
+    "AccountDecoder",
     "Append",
     "AppendFailed",
     "Appended",
@@ -56,6 +59,7 @@
     "decode_configuration",
     "decode_duration",
     "decode_upstream",
+    "find_account_keys",
     "find_configurations",
     "parse_caller_headers",
     "parse_upstream_headers",
--- a/comfreyusher/platform/_decode.py
+++ b/comfreyusher/platform/_decode.py
@@ -9,8 +9,9 @@
 
 from comfreyusher.declarations import Part, PlatformConfiguration, Route
 from comfreyusher.decoding import DecodingError, decode_json
-from comfreyusher.errors import ComfreyusherError
 from comfreyusher.messages import RegisteredUpstream
+from comfreyusher.platform._client_accounts import AccountDecoder
+from comfreyusher.platform._errors import DecodeError
 
 CONFIGURATION_KEY = "config"
 DURATION_PATTERN = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)")
@@ -32,10 +33,6 @@
 Rank = Annotated[int, Meta(le=1_000_000)]
 
 
-class DecodeError(ComfreyusherError):
-    """A document or a response of the platform is malformed or has bad values."""
-
-
 class _Upstream(msgspec.Struct):
     """The entry of an upstream.
 
@@ -65,7 +62,7 @@
 
     ``timeout`` is the limit for a whole request of a caller. A response within
     ``target_latency`` has its full value for the caller. Requests of ``priority`` 0
-    go first.
+    go first. Requests of a ``public`` route need no key of a client account.
     """
 
     hostname: str = ""
@@ -78,6 +75,7 @@
     traffic_split: list[_Part] | None = None
     max_attempts: Rank = 0
     idle_timeout: str | None = None
+    public: bool | None = None
 
 
 class _Metadata(msgspec.Struct):
@@ -142,25 +140,31 @@
     )
 
 
-def decode_configuration(value):
+def decode_configuration(value, account_decoder=None):
     """Return the ``PlatformConfiguration`` in a value.
 
+    An ``account_decoder`` that decoded the version before saves most of the work.
     Raises ``DecodeError`` for the whole configuration if a part of it is malformed.
     """
     document = _decode(value, _Configuration, "configuration")
     if not VERSION_PATTERN.fullmatch(document.version):
         raise DecodeError(f"configuration has no version: {document.version[:20]!r}")
-    routes, services, idle_ms = [], [], 0
+    routes, services, tenants, idle_ms = [], [], [], 0
     for resource in document.resources:
         if resource.entry_kind == "routes":
             routes.append(_decode_route(_decode(resource.spec, _Spec, "route")))
         elif resource.entry_kind == "services":
             services.append(_decode(resource.metadata, _Metadata, "service").name)
+        elif resource.entry_kind == "tenants":
+            tenants.append(resource)
         elif resource.entry_kind == "limits":
             limits = _decode(resource.spec, _Spec, "limits")
             idle_ms = _duration_or(limits.idle_timeout, 0)
     version = int(document.version, 16)
-    return PlatformConfiguration(version, tuple(routes), tuple(services), idle_ms)
+    accounts = (account_decoder or AccountDecoder()).decode(tenants)
+    return PlatformConfiguration(
+        version, tuple(routes), tuple(services), idle_ms, accounts
+    )
 
 
 def _decode(data, struct_type, what):
@@ -207,6 +211,7 @@
         max_attempts=max(0, spec.max_attempts),
         large=spec.kind in LARGE_KINDS,
         parts=parts,
+        public=bool(spec.public),
     )
 
 
--- a/comfreyusher/platform/_headers.py
+++ b/comfreyusher/platform/_headers.py
@@ -1,6 +1,7 @@
 """Parsing of callers' headers, and building of requests and responses."""
 
 import dataclasses
+import re
 
 from comfreyusher.messages import RequestHead
 
@@ -11,6 +12,15 @@
     name.lower()
     for name in (REQUEST_ID_HEADER, DEADLINE_HEADER, EXPECT_INSTANCE_HEADER)
 )
+ACCOUNT_HEADER = b"X-Tenant-Id"
+ACCOUNT_NAME = ACCOUNT_HEADER.lower()
+OWN_NAMES = ADDED_HEADERS | {ACCOUNT_NAME}
+AUTHORIZATION_NAME = b"authorization"
+CONNECTION_NAME = b"connection"
+# The whole value is one key. A value in which a list of credentials names the scheme
+# further on is no key, but is not sent to upstreams either.
+KEY_PATTERN = re.compile(rb"\s*token(?:\s+(.*?))?\s*", re.IGNORECASE | re.DOTALL)
+KEY_SCHEME_PATTERN = re.compile(rb"(?:^|,)\s*token(?:\s|,|$)", re.IGNORECASE)
 MAX_DEADLINE_DIGITS = 9
 
 
@@ -43,11 +53,28 @@
     return CallerHeaders(request_id, deadline_ms)
 
 
-def build_upstream_head(head, upstream, remaining_ms, request_id):
+def find_account_keys(head):
+    """Return the different keys of client accounts that a request head carries.
+
+    A request carries one at most; with several it cannot be told whose it is.
+    """
+    keys = []
+    for name, value in head.headers:
+        if name.lower() == AUTHORIZATION_NAME:
+            match = KEY_PATTERN.fullmatch(value)
+            key = match[1] if match is not None else None
+            if key and key not in keys:
+                keys.append(key)
+    return tuple(key.decode("utf-8", "surrogateescape") for key in keys)
+
+
+def build_upstream_head(head, upstream, remaining_ms, request_id, account=None):
     """Return the request head to send to an upstream.
 
     The head names the upstream, so that another upstream that uses the same address
     by now refuses the request. The remaining time to send is at least 1 ms.
+    ``account`` is the name of the client account, empty for none, or ``None`` without
+    client accounts in the configuration: then the caller's headers pass unchanged.
     """
     kept = tuple(pair for pair in head.headers if pair[0].lower() not in ADDED_HEADERS)
     added = (
@@ -55,9 +82,39 @@
         (DEADLINE_HEADER, b"%d" % max(1, remaining_ms)),
         (EXPECT_INSTANCE_HEADER, upstream.encode("latin-1")),
     )
+    if account is not None:
+        kept = _remove_account_headers(kept)
+    if account:
+        added += ((ACCOUNT_HEADER, account.encode()),)
     return RequestHead(head.method, head.target, kept + added, head.version)
 
 
+def _remove_account_headers(headers):
+    """Return the headers without keys, and without what the caller says of accounts.
+
+    Some servers take ``_`` in a name for ``-``, so such names are removed as well. A
+    caller's ``Connection`` must not mark the fleet's own headers for removal.
+    """
+    kept = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower.replace(b"_", b"-") == ACCOUNT_NAME:
+            continue
+        if lower == AUTHORIZATION_NAME and KEY_SCHEME_PATTERN.search(value):
+            continue
+        if lower == CONNECTION_NAME:
+            value = _remove_own_names(value)
+        kept.append((name, value))
+    return tuple(kept)
+
+
+def _remove_own_names(value):
+    parts = (
+        part for part in value.split(b",") if part.strip().lower() not in OWN_NAMES
+    )
+    return b",".join(parts)
+
+
 def build_request_id_headers(request_id):
     """Return the headers for a response that the fleet itself generates."""
     return ((REQUEST_ID_HEADER, request_id.encode("latin-1")),) if request_id else ()
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -25,8 +25,9 @@
     ReadNewest,
     ReadRecords,
     RecordsRead,
+    Topic,
 )
-from comfreyusher.platform._decode import DecodeError
+from comfreyusher.platform._errors import DecodeError
 from comfreyusher.platform._wire import (
     build_append_body,
     build_append_target,
@@ -46,6 +47,8 @@
 MIN_SILENCE_TIMEOUT_S = 0.5
 SILENCE_LATENCY_FACTOR = 2.5
 MAX_RESPONSE_BYTES = 8 << 20
+# 33,000 routes and 48,000 client accounts have 19 MB, or 25 MB in base64.
+MAX_CONFIGURATION_BYTES = 32 << 20
 MAX_READ_BYTES = 32 << 20
 MAX_IDLE_S = 1.0
 CALLS_PER_S = 10.0
@@ -219,11 +222,12 @@
     def _add_chunk(self, response, pending):
         pending.chunks.append(response.body)
         pending.size_bytes += len(response.body)
-        if pending.size_bytes > MAX_RESPONSE_BYTES:
+        max_bytes = _max_response_bytes(pending.call.request)
+        if pending.size_bytes > max_bytes:
             del self.calls[response.exchange]
             if not response.ended:
                 self.send_message(HTTP_CHANNEL, ClientRequestCancel(response.exchange))
-            reason = f"an answer over {MAX_RESPONSE_BYTES} bytes"
+            reason = f"an answer over {max_bytes} bytes"
             self._fail(pending.call.request, reason)
             return
         if not response.ended:
@@ -376,6 +380,13 @@
         raise DecodeError(f"pages over {MAX_READ_BYTES} bytes")
 
 
+def _max_response_bytes(request):
+    """Return the size limit of the response to a call, by its topic."""
+    if request.topic is Topic.CONFIGURATION:
+        return MAX_CONFIGURATION_BYTES
+    return MAX_RESPONSE_BYTES
+
+
 def _without_wait(call):
     """Return a read that the store responds to at once."""
     if not isinstance(call.request, ReadRecords):
--- a/comfreyusher/platform/_wire.py
+++ b/comfreyusher/platform/_wire.py
@@ -8,7 +8,7 @@
 
 from comfreyusher.decoding import DecodingError, decode_json
 from comfreyusher.platform._calls import ANY_END_OFFSET, Record, Topic
-from comfreyusher.platform._decode import DecodeError
+from comfreyusher.platform._errors import DecodeError
 
 RECORD_LENGTH = struct.Struct(">I")
 END_AND_FIRST_OFFSET = struct.Struct(">QQ")
--- a/comfreyusher/routing/_table.py
+++ b/comfreyusher/routing/_table.py
@@ -1,10 +1,11 @@
 """Lookup tables for routes, customers and profiles.
 
 A lookup costs one dictionary access per path segment, whatever the number of
-routes, and one per key for customers.
+routes, and one per key for customers and client accounts.
 """
 
 import dataclasses
+import types
 from typing import Any
 
 import immutables
@@ -12,6 +13,11 @@
 
 from comfreyusher.declarations import Part, Profile, digest_key
 from comfreyusher.flow import replace
+from comfreyusher.routing._client_accounts import (
+    AccountTables,
+    empty_table_field,
+    update_account_tables,
+)
 
 DEFAULT_PROFILE = "default"
 
@@ -48,7 +54,8 @@
     publishes. ``services`` and ``profiles`` map names to declarations,
     ``customers`` key digests and ``hosts`` hosts to customer names. ``entries``
     and ``offset`` are those of the declarations, ``version`` is that of the
-    platform's routes.
+    platform's routes. ``client_accounts`` maps keys, and ``client_accounts_by_name``
+    names to the client accounts of the same version.
     """
 
     routes: immutables.Map = immutables.Map()
@@ -61,6 +68,8 @@
     offset: int = 0
     version: int = 0
     default_profile: Profile = Profile(DEFAULT_PROFILE)
+    client_accounts: types.MappingProxyType = empty_table_field()
+    client_accounts_by_name: types.MappingProxyType = empty_table_field()
 
 
 def update_table(table, declarations):
@@ -75,11 +84,12 @@
     return replace(table, entries=entries, offset=declarations.offset)
 
 
-def set_published_routes(table, configuration):
-    """Return the table with the routes that the platform publishes.
+def set_published_routes(table, configuration, accounts=None):
+    """Return the table with the routes and client accounts that the platform publishes.
 
     ``configuration`` is the ``PlatformConfiguration``. A route that did not change
-    keeps its ``Rule`` object.
+    keeps its ``Rule`` object, and entries of accounts that did not change are kept.
+    ``accounts`` are the ``AccountTables`` of the configuration if they are built.
     """
     rules = {}
     for route in configuration.routes:
@@ -88,9 +98,17 @@
         same = known is not None and known.route == route
         rules[key] = known if same else _build_rule(route, route.parts)
     published_routes = immutables.Map(rules)
-    return replace(
+    table = replace(
         table, published_routes=published_routes, version=configuration.version
     )
+    if accounts is None:
+        known = AccountTables(table.client_accounts, table.client_accounts_by_name)
+        accounts = update_account_tables(known, configuration.client_accounts)
+    return replace(
+        table,
+        client_accounts=accounts.by_key,
+        client_accounts_by_name=accounts.by_name,
+    )
 
 
 def find_route(table, method, host, target, token=""):
@@ -172,6 +190,16 @@
     return table.hosts.get(host, "")
 
 
+def find_client_account(table, key):
+    """Return the ``ClientAccount`` that owns a key, or ``None``."""
+    return table.client_accounts.get(key)
+
+
+def has_client_accounts(table):
+    """Tell whether requests need the key of a client account."""
+    return bool(table.client_accounts_by_name)
+
+
 def _parse_path(target):
     path = target.partition("?")[0]
     if not path.startswith("/"):
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -54,6 +54,14 @@
     names: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeysRefused:
+    """Requests were rejected for want of a key, or with an unknown one."""
+
+    missing: int
+    unknown: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -80,6 +80,11 @@
             "1",
             "Headers of responses whose value was ignored, by upstream and name.",
         )
+        self.key_refusals = meter.create_counter(
+            "comfreyusher.key_refusals",
+            "1",
+            "Requests rejected without a known key of a client account, by reason.",
+        )
 
     def record_request(self, request):
         """Count a request and record its duration."""
@@ -135,6 +140,15 @@
             }
             self.unreadable.add(1, attributes)
 
+    def count_key_refusals(self, refused):
+        """Count the requests that were rejected for want of a known key."""
+        for reason, count in (
+            ("missing", refused.missing),
+            ("unknown", refused.unknown),
+        ):
+            if count:
+                self.key_refusals.add(count, {"comfreyusher.reason": reason})
+
     def export_span(self, span):
         """Export a span if an OTLP endpoint is configured."""
         if self.span_processor is not None:
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -9,6 +9,7 @@
     AttemptEnded,
     GrantDenied,
     HeadersUnreadable,
+    KeysRefused,
     RequestMeasured,
     SpanEnded,
     UpstreamEjected,
@@ -55,6 +56,7 @@
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
+            KeysRefused: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -87,6 +89,7 @@
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
+            KeysRefused: self.meters.count_key_refusals,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -45,6 +45,15 @@
     ]
 
 
+def build_client_account(name, keys, **fields):
+    """Return a client account of a configuration; ``fields`` are added to it."""
+    return {
+        "entry_kind": "tenants",
+        "metadata": {"name": name},
+        "spec": {"api_keys": list(keys), **fields},
+    }
+
+
 def build_upstream_entry(**fields):
     """Return an upstream's entry; ``fields`` replace its default values."""
     return {
