--- a/comfreyusher/entry/_key_refusals.py
+++ b/comfreyusher/entry/_key_refusals.py
@@ -36,14 +36,19 @@
         """Report what was counted, at most once a second."""
         if not self.counts or now - self.reported_s < REPORT_PERIOD_S:
             return
-        missing, unknown = self.counts[KeyFault.MISSING], self.counts[KeyFault.UNKNOWN]
+        refused = KeysRefused(
+            self.counts[KeyFault.MISSING],
+            self.counts[KeyFault.UNKNOWN],
+            self.counts[KeyFault.UNDECIDED],
+        )
         log_info(
             PART,
             "keys refused",
-            missing=missing,
-            unknown=unknown,
+            missing=refused.missing,
+            unknown=refused.unknown,
+            undecided=refused.undecided,
             last_caller=self.last_caller,
         )
-        self.send_message("telemetry", KeysRefused(missing, unknown))
+        self.send_message("telemetry", refused)
         self.counts.clear()
         self.reported_s = now
--- a/comfreyusher/entry/_responses.py
+++ b/comfreyusher/entry/_responses.py
@@ -49,7 +49,7 @@
     if retry_after_ms and outcome is Outcome.NOT_RUN:
         seconds = f"{retry_after_ms / 1000:.2f}".encode()
         headers.append((RETRY_AFTER_HEADER, seconds))
-    if request.key_fault:
+    if request.key_fault and status == 401:
         headers.append(KEY_CHALLENGE)
     text = f"{reason} ({outcome.value})"
     head, body = build_text_response(status, text, headers)
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -31,11 +31,15 @@
 
 
 class KeyFault(str, enum.Enum):
-    """Why a request has no client account."""
+    """Why a request has no client account.
+
+    UNDECIDED: a newer configuration, which this node does not use yet, may allow it.
+    """
 
     NONE = ""
     MISSING = "missing"
     UNKNOWN = "unknown"
+    UNDECIDED = "undecided"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,6 +169,8 @@
     requests to the end of their quarantine, ``statements`` upstreams to the
     ``UpstreamStatement`` of their last responses to this node. ``running_s`` is
     ``now_s`` without the time in which this process was paused.
+    ``newest_version`` is that of the newest configuration that this node has read, and
+    ``newer_exists`` tells that other nodes have a newer one.
     """
 
     node: str
@@ -190,6 +196,13 @@
     spill_refilled_s: float = 0.0
     now_s: float = 0.0
     running_s: float = 0.0
+    newest_version: int = 0
+    newer_exists: bool = False
+
+    @property
+    def is_outdated(self):
+        """Whether a newer configuration exists than the one in force here."""
+        return self.newer_exists or self.newest_version > self.table.version
 
     @property
     def last_response_s(self):
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -43,6 +43,7 @@
     is_overdue,
 )
 from comfreyusher.events import log_info, log_warning
+from comfreyusher.feeds import ConfigurationKnown
 from comfreyusher.flow import (
     Subscribe,
     Task,
@@ -122,6 +123,7 @@
             SendReport: self.handle_send_report,
             RequestFinished: self.handle_request_finished,
             NodeView: self.handle_node_view,
+            ConfigurationKnown: self.handle_configuration_known,
             QuarantinesChanged: self.handle_quarantines_changed,
             EndRequests: self.handle_end_requests,
             Tick: self.handle_tick,
@@ -325,6 +327,12 @@
         for request in list(self.requests.values()):
             self.run(end_for_shutdown, request)
 
+    def handle_configuration_known(self, known):
+        """Note whether a newer configuration exists than the one in force here."""
+        self.state = replace(
+            self.state, newest_version=known.version, newer_exists=known.newer_exists
+        )
+
     def handle_quarantines_changed(self, changed):
         """Refuse the quarantined requests from now on."""
         self.state = replace(self.state, quarantined=changed.quarantined)
--- a/comfreyusher/feeds/__init__.py
+++ b/comfreyusher/feeds/__init__.py
@@ -2,6 +2,7 @@
 
 from comfreyusher.feeds._messages import (
     ConfigurationChanged,
+    ConfigurationKnown,
     DeclarationsRead,
     QuarantinesRead,
     ReadNow,
@@ -25,6 +26,7 @@
     "FANOUT",
     "ApplyResult",
     "ConfigurationChanged",
+    "ConfigurationKnown",
     "DeclarationsRead",
     "FeedTask",
     "FeedTimings",
--- a/comfreyusher/feeds/_messages.py
+++ b/comfreyusher/feeds/_messages.py
@@ -23,6 +23,17 @@
     configuration: PlatformConfiguration
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationKnown:
+    """The newest version that this node has read, 0 for none.
+
+    ``newer_exists`` tells that another node has told of a newer one.
+    """
+
+    version: int
+    newer_exists: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeclarationsRead:
     """Records of declarations, and the offset after them."""
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -199,6 +199,7 @@
             self.outage.confirm(now)
             self.last_read_s = now
         state.call_pending = False
+        self.view.report_configuration(self.topics[Topic.CONFIGURATION].behind)
         state.next_call_s = now if behind else self._next_call_s(topic, state)
         if end_offset < state.target_offset:  # the store responded with an old state
             self.exchange.request_snapshot(state.reader, topic)
@@ -275,6 +276,7 @@
             self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
             if topic is Topic.UPSTREAMS:
                 self.outage.confirm(now - watermark.age_ms / 1000)
+        self.view.report_configuration(self.topics[Topic.CONFIGURATION].behind)
         if self.is_reader and rank < self.rank:
             if message.read_age_ms / 1000 < self.timings.max_staleness_s(rank):
                 self.is_reader = False
@@ -346,6 +348,7 @@
             self._apply_records(read, watermark.end_offset, whole=True, source=PEER)
         self.exchange.respond_to_pending(topic)
         state.behind = state.target_offset > watermark.end_offset
+        self.view.report_configuration(self.topics[Topic.CONFIGURATION].behind)
         if state.behind:
             self.catch_up.start(topic, state, now)
 
--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -6,6 +6,7 @@
 from comfreyusher.feeds._log import log_configuration, log_upstream
 from comfreyusher.feeds._messages import (
     ConfigurationChanged,
+    ConfigurationKnown,
     DeclarationsRead,
     QuarantinesRead,
     UpstreamsChanged,
@@ -39,6 +40,7 @@
         self.registry = UpstreamRegistry()
         self.configuration = None
         self.account_decoder = AccountDecoder()
+        self.configuration_known = ConfigurationKnown(0, False)
         self.newest_records = {topic: {} for topic in RECORD_TOPICS}
         self.compressed_records = {topic: {} for topic in RECORD_TOPICS}
 
@@ -98,6 +100,14 @@
         self.send_message("node", ConfigurationChanged(self.configuration))
         return True
 
+    def report_configuration(self, newer_exists):
+        """Tell the entry task whether its keys may be out of date, if that changed."""
+        version = self.configuration.version if self.configuration else 0
+        known = ConfigurationKnown(version, newer_exists)
+        if known != self.configuration_known:
+            self.configuration_known = known
+            self.send_message("entry", known)
+
     # Other nodes -----------------------------------------------------------------
 
     def compress_records(self, topic):
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -56,10 +56,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeysRefused:
-    """Requests were rejected for want of a key, or with an unknown one."""
+    """Requests were rejected for want of a key, or with an unknown one.
+
+    The ``undecided`` ones may be allowed by a newer configuration.
+    """
 
     missing: int
     unknown: int
+    undecided: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -142,10 +142,7 @@
 
     def count_key_refusals(self, refused):
         """Count the requests that were rejected for want of a known key."""
-        for reason, count in (
-            ("missing", refused.missing),
-            ("unknown", refused.unknown),
-        ):
+        for reason, count in dataclasses.asdict(refused).items():
             if count:
                 self.key_refusals.add(count, {"comfreyusher.reason": reason})
 
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -10,7 +10,12 @@
 
 from comfreyusher.declarations import ClientAccount, PlatformConfiguration, digest_key
 from comfreyusher.entry import EntryTask, NodeView, new_entry_state
-from comfreyusher.feeds import apply_configuration, compress_record
+from comfreyusher.feeds import (
+    ConfigurationChanged,
+    ConfigurationKnown,
+    apply_configuration,
+    compress_record,
+)
 from comfreyusher.feeds._relay import decompress_value
 from comfreyusher.feeds._view import FeedView
 from comfreyusher.flow import Subscribe, replace
@@ -22,6 +27,8 @@
     RequestHead,
     RequestStart,
     ResponseHead,
+    SnapshotResponse,
+    TopicWatermark,
     find_header,
 )
 from comfreyusher.node._configuration_loader import ConfigurationLoader
@@ -41,9 +48,11 @@
     find_client_account,
     set_published_routes,
 )
-from comfreyusher.telemetry import KeysRefused
+from comfreyusher.settings import TelemetrySettings
+from comfreyusher.telemetry import KeysRefused, TelemetryTask
 from standins import documents
 from tests.test_entry import FAULT, OK, EntryCase, member
+from tests.test_feeds import FeedCase
 
 KEY, OTHER_KEY = "k-7f3a91", "k-c02b55"
 AUTHORIZED = (b"Authorization", b"Token " + KEY.encode())
@@ -151,6 +160,19 @@
         self.send(AUTHORIZED)
         self.assert_status(503)
 
+    # Guards against a final 401 for a key that a newer configuration has.
+    def test_a_key_that_a_newer_configuration_may_have_gets_503(self):
+        for known in (ConfigurationKnown(2, True), ConfigurationKnown(3, False)):
+            self.deliver(known)
+            self.send((b"Authorization", b"Token k-new"))
+            response = self.assert_status(503)
+            retry_after_s = float(find_header(response.head, b"retry-after"))
+            self.assertTrue(0.4 <= retry_after_s <= 0.8)
+            self.send(AUTHORIZED, number=2)
+            self.assertEqual(len(self.pop_messages(GrantRequest)), 1)
+        self.deliver(ConfigurationKnown(2, False))
+        self.assert_refused((b"Authorization", b"Token k-new"))
+
     # Guards against the key of an account that counts as the key of a customer.
     def test_a_token_is_no_customers_key(self):
         customers = immutables.Map({digest_key(KEY): "c", digest_key("b"): "d"})
@@ -293,6 +315,26 @@
         self.assertEqual(keys, [(KEY,), ()])
 
 
+class OutdatedNodeTests(FeedCase):
+    RANK = 2
+
+    # Guards against final refusals by a node whose keys are known to be out of date.
+    def test_the_entry_task_learns_that_a_newer_configuration_exists(self):
+        self.read_initial()
+        known = self.pop_messages(ConfigurationKnown)
+        self.assertEqual(known, [ConfigurationKnown(1, False)])
+        topic = Topic.CONFIGURATION
+        self.task.handle_feed_watermarks(self.watermarks(0, 2, 2, topic=topic))
+        known = self.pop_messages(ConfigurationChanged | ConfigurationKnown)[-1]
+        self.assertEqual(known, ConfigurationKnown(1, True))
+        record = compress_record(Record("config", encode(7, account()), 1))
+        watermark = TopicWatermark(topic.value, 2, 2, 0)
+        self.task.handle_snapshot_response(SnapshotResponse(watermark, (record,)))
+        changed, known = self.pop_messages(ConfigurationChanged | ConfigurationKnown)
+        self.assertEqual(changed.configuration.client_accounts[0].keys, (KEY,))
+        self.assertEqual(known, ConfigurationKnown(7, False))
+
+
 class SecrecyTests(AccountCase):
     # Guards against keys in logs, traces, account entries and texts of errors.
     def test_a_key_is_in_no_message_but_that_to_its_upstream(self):
@@ -321,6 +363,14 @@
         counts = [m.missing for m in self.pop_messages(KeysRefused)]
         self.assertEqual((sum(counts), len(counts)), (300, len(log.mock_calls)))
         self.assertFalse(self.task.ticking)
+        telemetry = TelemetryTask("vm-1", TelemetrySettings())
+        telemetry.load_meters()
+        telemetry.handle_measurement(KeysRefused(0, 7, 0))
+        self.assertIn(
+            b'comfreyusher_key_refusals_total{comfreyusher_reason="unknown"',
+            telemetry.read_prometheus_text(),
+        )
+        telemetry.close()
 
 
 class DecodingTests(unittest.TestCase):
