--- a/comfreyusher/feeds/_catch_up.py
+++ b/comfreyusher/feeds/_catch_up.py
@@ -9,6 +9,7 @@
 CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
 OWN_TOPICS = (Topic.DECLARATIONS, Topic.QUARANTINES)
+FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, *OWN_TOPICS)
 
 
 class CatchUp:
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -248,17 +248,17 @@
     faults: tuple = ()
 
 
-def apply_configuration(current, records, account_decoder=None):
+def apply_configuration(current, records, decode=decode_configuration):
     """Return the ``ConfigurationResult`` of some records.
 
     The newest one that can be read counts, and an older version never replaces a
-    newer one. ``current`` is ``None`` before the first one. An ``account_decoder``
-    keeps the client accounts that did not change.
+    newer one. ``current`` is ``None`` before the first one. ``decode`` returns
+    the configuration in a value.
     """
     faults = []
     for record in find_configurations(records):
         try:
-            newest = decode_configuration(record.value, account_decoder)
+            newest = decode(record.value)
         except DecodeError as error:
             faults.append(str(error))
             continue
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -4,14 +4,11 @@
 import random
 
 from comfreyusher.events import log_info
-from comfreyusher.feeds._catch_up import OWN_TOPICS, CatchUp
+from comfreyusher.feeds._catch_up import FOLLOWED_TOPICS, OWN_TOPICS, CatchUp
 from comfreyusher.feeds._exchange import REQUIRED_TOPICS, SnapshotExchange
-from comfreyusher.feeds._messages import (
-    ReadNow,
-    RegionChanged,
-    UpstreamsChanged,
-)
+from comfreyusher.feeds._messages import ReadNow, RegionChanged, UpstreamsChanged
 from comfreyusher.feeds._outage import Outage
+from comfreyusher.feeds._preparation import Preparation
 from comfreyusher.feeds._publisher import RegionPublisher
 from comfreyusher.feeds._reader import backoff_s, rank_readers
 from comfreyusher.feeds._relay import first_read_delay_s
@@ -44,7 +41,6 @@
 TICK_PERIOD_S = 0.25
 OWN_TOPIC_WAIT_S = 10.0
 STORE, PEER = "store", "peer"
-FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, *OWN_TOPICS)
 TOPIC_BY_NAME = {topic.value: topic for topic in FOLLOWED_TOPICS}
 
 
@@ -74,17 +70,21 @@
         self.last_read_s = NEVER_S
         self.outage = Outage(self.clock())
         self.started_s = 0.0
+        self.preparation = Preparation(
+            CHANNEL, self.view.decoder, self._forward_message
+        )
+        prepare = self.preparation.wrap
         self.message_handlers = {
             RegionChanged: self.handle_region_changed,
-            RecordsRead: self.handle_records_read,
-            NewestRead: self.handle_newest_read,
+            RecordsRead: prepare(self.handle_records_read),
+            NewestRead: prepare(self.handle_newest_read),
             ReadFailed: self.handle_read_failed,
             FeedWatermarks: self.handle_feed_watermarks,
             UpstreamDelta: self.handle_upstream_delta,
             SnapshotRequest: self.exchange.handle_snapshot_request,
-            SnapshotResponse: self.handle_snapshot_response,
+            SnapshotResponse: prepare(self.handle_snapshot_response),
             ReadNow: self.handle_read_now,
-            Tick: self.handle_tick,
+            Tick: self.preparation.wrap_tick(self.handle_tick),
         }
 
     def _forward_message(self, channel, body):
--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -19,7 +19,7 @@
     apply_upstream_records,
 )
 from comfreyusher.feeds._topic import update_newest
-from comfreyusher.platform import AccountDecoder, Record, Topic
+from comfreyusher.platform import ConfigurationDecoder, Record, Topic
 
 PART = "feeds"
 RECORD_TOPICS = (Topic.CONFIGURATION, Topic.DECLARATIONS, Topic.QUARANTINES)
@@ -39,7 +39,7 @@
         self.send_message = send_message
         self.registry = UpstreamRegistry()
         self.configuration = None
-        self.account_decoder = AccountDecoder()
+        self.decoder = ConfigurationDecoder()
         self.configuration_known = ConfigurationKnown(0, False)
         self.newest_records = {topic: {} for topic in RECORD_TOPICS}
         self.compressed_records = {topic: {} for topic in RECORD_TOPICS}
@@ -88,7 +88,7 @@
         self.send_message(CHANNELS[topic], MESSAGES[topic](end_offset, records))
 
     def _update_configuration(self, records, source, waited_ms):
-        result = apply_configuration(self.configuration, records, self.account_decoder)
+        result = apply_configuration(self.configuration, records, self.decoder.decode)
         for fault in result.faults:
             log_warning(PART, "configuration refused", reason=fault)
         if result.record is None:
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -16,8 +16,8 @@
     RecordsRead,
     Topic,
 )
-from comfreyusher.platform._client_accounts import AccountDecoder
 from comfreyusher.platform._decode import (
+    ConfigurationDecoder,
     decode_configuration,
     decode_duration,
     decode_upstream,
@@ -39,11 +39,11 @@
 
 __all__ = [
     "ANY_END_OFFSET",
-    "AccountDecoder",
     "Append",
     "AppendFailed",
     "Appended",
     "CallerHeaders",
+    "ConfigurationDecoder",
     "DecodeError",
     "NewestRead",
     "PlatformTask",
--- a/comfreyusher/platform/_client_accounts.py
+++ b/comfreyusher/platform/_client_accounts.py
@@ -49,15 +49,18 @@
     def __init__(self):
         self.known = {}
 
-    def decode(self, resources):
+    def decode(self, resources, slice_size):
         """Return the ``ClientAccount`` tuple of the resources that declare them.
 
-        The first of several accounts with the same name counts, and a key belongs to
-        the first account that has it. Raises ``DecodeError`` for a malformed account;
-        its text has no key.
+        This is a generator, which pauses after each slice of resources. The first of
+        several accounts with the same name counts, and a key belongs to the first
+        account that has it. Raises ``DecodeError`` for a malformed account; its text
+        has no key.
         """
         known, decoded = self.known, {}
-        for resource in resources:
+        for number, resource in enumerate(resources, start=1):
+            if not number % slice_size:
+                yield
             text = b"".join((resource.metadata, resource.spec))
             digest = xxhash.xxh3_128_digest(text)
             decoded[digest] = known.get(digest) or _decode_account(resource)
--- a/comfreyusher/platform/_decode.py
+++ b/comfreyusher/platform/_decode.py
@@ -25,6 +25,7 @@
 LARGE_KINDS = ("upload", "download")
 MAX_PORT = 65535
 MAX_UNIX_MS = 1 << 53
+SLICE_RESOURCES = 1000
 WEIGHT_SCALE = 1000  # the smallest share of a weight that counts
 ShortText = Annotated[str, Meta(max_length=255)]
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
@@ -140,17 +141,70 @@
     )
 
 
-def decode_configuration(value, account_decoder=None):
+def decode_configuration(value):
     """Return the ``PlatformConfiguration`` in a value.
 
-    An ``account_decoder`` that decoded the version before saves most of the work.
     Raises ``DecodeError`` for the whole configuration if a part of it is malformed.
     """
+    return ConfigurationDecoder().decode(value)
+
+
+class ConfigurationDecoder:
+    """Decodes one configuration after another, on request in slices.
+
+    A large one takes some 0.3 s of a core, for which an event loop must not stop. The
+    last value and what it decoded to are kept, and its client accounts for the next.
+    """
+
+    def __init__(self):
+        self.accounts = AccountDecoder()
+        self.value = None
+        self.slices = None
+        self.result = None
+        self.error = None
+
+    def start(self, value):
+        """Begin to decode a value."""
+        self.value, self.result, self.error = value, None, None
+        self.slices = _decode_in_slices(value, self.accounts)
+
+    def advance(self):
+        """Decode the next slice; return whether the value is decoded."""
+        if self.slices is None:
+            return True
+        try:
+            next(self.slices)
+            return False
+        except StopIteration as end:
+            self.result = end.value
+        except DecodeError as error:
+            self.error = error
+        self.slices = None
+        return True
+
+    def decode(self, value):
+        """Return the ``PlatformConfiguration`` in a value, or raise ``DecodeError``.
+
+        Nothing is left to do if the value was decoded in slices before.
+        """
+        if value != self.value:
+            self.start(value)
+        while not self.advance():
+            pass
+        if self.error is not None:
+            raise self.error
+        return self.result
+
+
+def _decode_in_slices(value, account_decoder):
+    """Return the configuration; a generator, which pauses after each slice."""
     document = _decode(value, _Configuration, "configuration")
     if not VERSION_PATTERN.fullmatch(document.version):
         raise DecodeError(f"configuration has no version: {document.version[:20]!r}")
     routes, services, tenants, idle_ms = [], [], [], 0
-    for resource in document.resources:
+    for number, resource in enumerate(document.resources):
+        if not number % SLICE_RESOURCES:
+            yield
         if resource.entry_kind == "routes":
             routes.append(_decode_route(_decode(resource.spec, _Spec, "route")))
         elif resource.entry_kind == "services":
@@ -160,10 +214,9 @@
         elif resource.entry_kind == "limits":
             limits = _decode(resource.spec, _Spec, "limits")
             idle_ms = _duration_or(limits.idle_timeout, 0)
-    version = int(document.version, 16)
-    accounts = (account_decoder or AccountDecoder()).decode(tenants)
+    accounts = yield from account_decoder.decode(tenants, SLICE_RESOURCES)
     return PlatformConfiguration(
-        version, tuple(routes), tuple(services), idle_ms, accounts
+        int(document.version, 16), tuple(routes), tuple(services), idle_ms, accounts
     )
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,7 @@
 from comfreyusher.messages import (
     CallerDisconnected,
     RequestBody,
+    RequestCredit,
     RequestStart,
     ResponseAbort,
 )
@@ -139,6 +140,8 @@
         if partial is None:
             return
         body = partial.body + message.body
+        credit = RequestCredit(message.exchange, len(message.body))
+        self.send_message("web", credit)
         self.partial_requests[message.exchange] = PartialRequest(partial.head, body)
         if message.ended:
             self.complete_request(message.exchange)
--- a/tests/region.py
+++ b/tests/region.py
@@ -13,7 +13,7 @@
     FeedTimings,
     RegionChanged,
 )
-from comfreyusher.flow import Tick
+from comfreyusher.flow import Subscribe, Tick
 from comfreyusher.messages import MemberRecord, ToNode
 from comfreyusher.peering import encode_message
 from comfreyusher.platform import (
@@ -143,6 +143,10 @@
             self.in_force.setdefault((name, body.configuration.version), self.now)
         elif channel == "platform":
             self._call(name, body)
+        elif isinstance(body, Subscribe) and not body.repeat:
+            handler = self.tasks[name].message_handlers[Tick]
+            tick = Tick(body.name, self.now + body.period_s)
+            self.at(tick.now_s, lambda: handler(tick))
         elif isinstance(body, ToNode) and name not in self.silent:
             self._transmit(name, body)
 
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -18,7 +18,7 @@
 )
 from comfreyusher.feeds._relay import decompress_value
 from comfreyusher.feeds._view import FeedView
-from comfreyusher.flow import Subscribe, replace
+from comfreyusher.flow import Subscribe, Tick, replace
 from comfreyusher.messages import (
     ClientRequestStart,
     ClientResponseStart,
@@ -335,6 +335,62 @@
         self.assertEqual(known, ConfigurationKnown(7, False))
 
 
+class PreparationTests(FeedCase):
+    """Large configurations are decoded in slices, between ticks of the timer."""
+
+    def deliver(self, body):
+        self.task.message_handlers[type(body)](body)
+
+    def run_slices(self):
+        """Deliver the ticks that the feed task asks for; return their number."""
+        count = 0
+        while any(s.name == "preparation" for s in self.pop_messages(Subscribe)):
+            self.deliver(Tick("preparation", self.now))
+            count += 1
+        return count
+
+    def versions(self):
+        return [
+            m.configuration.version for m in self.pop_messages(ConfigurationChanged)
+        ]
+
+    def snapshot(self, version, *resources):
+        """Return a snapshot of another node with some 3,000 accounts."""
+        many = [account(f"a{n}", (f"{'k' * 60}{n}",)) for n in range(3000)]
+        value = encode(version, *many, *resources)
+        record = compress_record(Record("config", value, version))
+        watermark = TopicWatermark(Topic.CONFIGURATION.value, version, version, 0)
+        return SnapshotResponse(watermark, (record,))
+
+    # Guards against an event loop that stands still while it decodes, and against
+    # versions that overtake each other.
+    def test_messages_wait_in_their_order_until_they_are_decoded(self):
+        self.pop_messages(object)
+        for version in (1, 2):
+            self.deliver(self.snapshot(version))
+        small = Record("config", encode(3), 3)
+        self.deliver(NewestRead(Topic.CONFIGURATION, 4, (small,)))
+        self.assertEqual(self.versions(), [])
+        self.assertGreater(self.run_slices(), 4)
+        self.assertEqual(self.versions(), [1, 2, 3])
+
+    # Guards against a malformed configuration, or a fault, that stops all later ones.
+    def test_what_waits_behind_a_malformed_configuration_goes_on(self):
+        self.pop_messages(object)
+        self.deliver(self.snapshot(1))
+        self.deliver(self.snapshot(2, account(keys=(7,))))
+        self.deliver(self.snapshot(3))
+        self.run_slices()
+        self.assertEqual(self.versions(), [1, 3])
+        with mock.patch.object(self.task.view, "update_records", side_effect=KeyError):
+            self.deliver(self.snapshot(4))
+            with self.assertRaises(KeyError):
+                self.run_slices()
+        self.deliver(self.snapshot(5))
+        self.run_slices()
+        self.assertEqual(self.versions(), [5])
+
+
 class SecrecyTests(AccountCase):
     # Guards against keys in logs, traces, account entries and texts of errors.
     def test_a_key_is_in_no_message_but_that_to_its_upstream(self):
