--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -34,6 +34,7 @@
 ENTRY = "tests.test_entry"
 FEEDS = "tests.test_feeds"
 CLIENT = "tests.test_http_client"
+ACCOUNTS = "tests.test_client_accounts"
 FAILING = "tests.test_pattern_failing_for_seconds"
 OVERLOAD = "tests.test_pattern_crest"
 REGION = "tests.test_pattern_region_failing"
@@ -466,6 +467,38 @@
         "    if False:",
         "tests.test_entry_shutdown",
     ),
+    Mutation(
+        "a request that waited for its body keeps a removed key",
+        "keys of client accounts",
+        "comfreyusher/entry/_body.py",
+        "RELEASE_PIPE = pipe(identify_client_account, begin_attempt)",
+        "RELEASE_PIPE = begin_attempt",
+        ACCOUNTS,
+    ),
+    Mutation(
+        "a caller has the name of its account removed by Connection",
+        "keys of client accounts",
+        "comfreyusher/platform/_headers.py",
+        "        if lower == CONNECTION_NAME:",
+        "        if False:",
+        ACCOUNTS,
+    ),
+    Mutation(
+        "a key behind a comma reaches the upstream",
+        "keys of client accounts",
+        "comfreyusher/platform/_headers.py",
+        "KEY_SCHEME_PATTERN.search(value)",
+        "KEY_PATTERN.fullmatch(value)",
+        ACCOUNTS,
+    ),
+    Mutation(
+        "a key that moves to another account is lost",
+        "keys of client accounts",
+        "comfreyusher/routing/_client_accounts.py",
+        "    return (*removed, *added)",
+        "    return (*added, *removed)",
+        ACCOUNTS,
+    ),
 )
 
 
