--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -6,6 +6,7 @@
 from comfreyusher.feeds._log import log_configuration, log_upstream
 from comfreyusher.feeds._messages import (
     ConfigurationChanged,
+    ConfigurationKnown,
     DeclarationsRead,
     QuarantinesRead,
     UpstreamsChanged,
@@ -18,7 +19,7 @@
     apply_upstream_records,
 )
 from comfreyusher.feeds._topic import update_newest
-from comfreyusher.platform import Record, Topic
+from comfreyusher.platform import ConfigurationDecoder, Record, Topic
 
 PART = "feeds"
 RECORD_TOPICS = (Topic.CONFIGURATION, Topic.DECLARATIONS, Topic.QUARANTINES)
@@ -38,6 +39,8 @@
         self.send_message = send_message
         self.registry = UpstreamRegistry()
         self.configuration = None
+        self.decoder = ConfigurationDecoder()
+        self.configuration_known = ConfigurationKnown(0, False)
         self.newest_records = {topic: {} for topic in RECORD_TOPICS}
         self.compressed_records = {topic: {} for topic in RECORD_TOPICS}
 
@@ -85,7 +88,7 @@
         self.send_message(CHANNELS[topic], MESSAGES[topic](end_offset, records))
 
     def _update_configuration(self, records, source, waited_ms):
-        result = apply_configuration(self.configuration, records)
+        result = apply_configuration(self.configuration, records, self.decoder.decode)
         for fault in result.faults:
             log_warning(PART, "configuration refused", reason=fault)
         if result.record is None:
@@ -97,6 +100,14 @@
         self.send_message("node", ConfigurationChanged(self.configuration))
         return True
 
+    def report_configuration(self, newer_exists):
+        """Tell the entry task whether its keys may be out of date, if that changed."""
+        version = self.configuration.version if self.configuration else 0
+        known = ConfigurationKnown(version, newer_exists)
+        if known != self.configuration_known:
+            self.configuration_known = known
+            self.send_message("entry", known)
+
     # Other nodes -----------------------------------------------------------------
 
     def compress_records(self, topic):
--- a/comfreyusher/platform/__init__.py
+++ b/comfreyusher/platform/__init__.py
@@ -17,16 +17,18 @@
     Topic,
 )
 from comfreyusher.platform._decode import (
-    DecodeError,
+    ConfigurationDecoder,
     decode_configuration,
     decode_duration,
     decode_upstream,
     find_configurations,
 )
+from comfreyusher.platform._errors import DecodeError
 from comfreyusher.platform._headers import (
     CallerHeaders,
     build_request_id_headers,
     build_upstream_head,
+    find_account_keys,
     parse_caller_headers,
 )
 from comfreyusher.platform._task import PlatformTask
@@ -41,6 +43,7 @@
     "AppendFailed",
     "Appended",
     "CallerHeaders",
+    "ConfigurationDecoder",
     "DecodeError",
     "NewestRead",
     "PlatformTask",
@@ -56,6 +59,7 @@
     "decode_configuration",
     "decode_duration",
     "decode_upstream",
+    "find_account_keys",
     "find_configurations",
     "parse_caller_headers",
     "parse_upstream_headers",
--- a/comfreyusher/platform/_decode.py
+++ b/comfreyusher/platform/_decode.py
@@ -9,8 +9,9 @@
 
 from comfreyusher.declarations import Part, PlatformConfiguration, Route
 from comfreyusher.decoding import DecodingError, decode_json
-from comfreyusher.errors import ComfreyusherError
 from comfreyusher.messages import RegisteredUpstream
+from comfreyusher.platform._client_accounts import AccountDecoder
+from comfreyusher.platform._errors import DecodeError
 
 CONFIGURATION_KEY = "config"
 DURATION_PATTERN = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s)")
@@ -24,6 +25,7 @@
 LARGE_KINDS = ("upload", "download")
 MAX_PORT = 65535
 MAX_UNIX_MS = 1 << 53
+SLICE_RESOURCES = 1000
 WEIGHT_SCALE = 1000  # the smallest share of a weight that counts
 ShortText = Annotated[str, Meta(max_length=255)]
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
@@ -32,10 +34,6 @@
 Rank = Annotated[int, Meta(le=1_000_000)]
 
 
-class DecodeError(ComfreyusherError):
-    """A document or a response of the platform is malformed or has bad values."""
-
-
 class _Upstream(msgspec.Struct):
     """The entry of an upstream.
 
@@ -65,7 +63,7 @@
 
     ``timeout`` is the limit for a whole request of a caller. A response within
     ``target_latency`` has its full value for the caller. Requests of ``priority`` 0
-    go first.
+    go first. Requests of a ``public`` route need no key of a client account.
     """
 
     hostname: str = ""
@@ -78,6 +76,7 @@
     traffic_split: list[_Part] | None = None
     max_attempts: Rank = 0
     idle_timeout: str | None = None
+    public: bool | None = None
 
 
 class _Metadata(msgspec.Struct):
@@ -147,20 +146,78 @@
 
     Raises ``DecodeError`` for the whole configuration if a part of it is malformed.
     """
+    return ConfigurationDecoder().decode(value)
+
+
+class ConfigurationDecoder:
+    """Decodes one configuration after another, on request in slices.
+
+    A large one takes some 0.3 s of a core, for which an event loop must not stop. The
+    last value and what it decoded to are kept, and its client accounts for the next.
+    """
+
+    def __init__(self):
+        self.accounts = AccountDecoder()
+        self.value = None
+        self.slices = None
+        self.result = None
+        self.error = None
+
+    def start(self, value):
+        """Begin to decode a value."""
+        self.value, self.result, self.error = value, None, None
+        self.slices = _decode_in_slices(value, self.accounts)
+
+    def advance(self):
+        """Decode the next slice; return whether the value is decoded."""
+        if self.slices is None:
+            return True
+        try:
+            next(self.slices)
+            return False
+        except StopIteration as end:
+            self.result = end.value
+        except DecodeError as error:
+            self.error = error
+        self.slices = None
+        return True
+
+    def decode(self, value):
+        """Return the ``PlatformConfiguration`` in a value, or raise ``DecodeError``.
+
+        Nothing is left to do if the value was decoded in slices before.
+        """
+        if value != self.value:
+            self.start(value)
+        while not self.advance():
+            pass
+        if self.error is not None:
+            raise self.error
+        return self.result
+
+
+def _decode_in_slices(value, account_decoder):
+    """Return the configuration; a generator, which pauses after each slice."""
     document = _decode(value, _Configuration, "configuration")
     if not VERSION_PATTERN.fullmatch(document.version):
         raise DecodeError(f"configuration has no version: {document.version[:20]!r}")
-    routes, services, idle_ms = [], [], 0
-    for resource in document.resources:
+    routes, services, tenants, idle_ms = [], [], [], 0
+    for number, resource in enumerate(document.resources):
+        if not number % SLICE_RESOURCES:
+            yield
         if resource.entry_kind == "routes":
             routes.append(_decode_route(_decode(resource.spec, _Spec, "route")))
         elif resource.entry_kind == "services":
             services.append(_decode(resource.metadata, _Metadata, "service").name)
+        elif resource.entry_kind == "tenants":
+            tenants.append(resource)
         elif resource.entry_kind == "limits":
             limits = _decode(resource.spec, _Spec, "limits")
             idle_ms = _duration_or(limits.idle_timeout, 0)
-    version = int(document.version, 16)
-    return PlatformConfiguration(version, tuple(routes), tuple(services), idle_ms)
+    accounts = yield from account_decoder.decode(tenants, SLICE_RESOURCES)
+    return PlatformConfiguration(
+        int(document.version, 16), tuple(routes), tuple(services), idle_ms, accounts
+    )
 
 
 def _decode(data, struct_type, what):
@@ -207,6 +264,7 @@
         max_attempts=max(0, spec.max_attempts),
         large=spec.kind in LARGE_KINDS,
         parts=parts,
+        public=bool(spec.public),
     )
 
 
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -54,6 +54,18 @@
     names: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeysRefused:
+    """Requests were rejected for want of a key, or with an unknown one.
+
+    The ``undecided`` ones may be allowed by a newer configuration.
+    """
+
+    missing: int
+    unknown: int
+    undecided: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
