--- a/tests/test_pattern_connection_reuse.py
+++ b/tests/test_pattern_connection_reuse.py
@@ -14,7 +14,8 @@
 from tests.simulation import Behaviour, RequestKind, Simulation
 
 NODES = 62
-SECONDS = 10
+CALM_SECONDS = 30  # connections of the first seconds are all new
+FAILING_SECONDS = 10
 SEEDS = range(4)
 FEES = RequestKind("fees", 137, 0.312, idempotent=False, max_attempts=1)
 LOOKUPS = RequestKind("lookups", 51, 0.426)
@@ -79,7 +80,7 @@
     """Return the simulation of a kind of request on a group of upstreams."""
     behaviours = [behaviour or Behaviour()] * upstreams
     simulation = NodesSimulation(behaviours, [kind], seed=seed, reuses=reuses)
-    return simulation.run(SECONDS)
+    return simulation.run(FAILING_SECONDS if behaviour else CALM_SECONDS)
 
 
 class ConnectionReuseTests(unittest.TestCase):
