--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -3,6 +3,7 @@
 import immutables
 
 from comfreyusher.entry._client_accounts import rank_request
+from comfreyusher.entry._connections import find_connected_upstreams
 from comfreyusher.entry._fingerprint import is_quarantined
 from comfreyusher.entry._messages import SendReport
 from comfreyusher.entry._owners import (
@@ -158,6 +159,7 @@
         format_context(request.trace) if request.trace.sampled else "",
         conditions.max_risk,
         client_account=request.client_account.name if request.client_account else "",
+        connected_upstreams=find_connected_upstreams(state, group_name, route),
     )
 
 
