--- a/comfreyusher/platform/_calls.py
+++ b/comfreyusher/platform/_calls.py
@@ -2,6 +2,10 @@
 
 The store holds topics. A topic keeps the newest record of every key for ever and
 every record for a while. Its records are numbered by offsets.
+
+The store may be restored from an older copy of itself. Its era is a number that rises
+each time; offsets of different eras have nothing to do with each other. An ``era`` of
+0 stands for a store that names none. Each result carries the era of the response.
 """
 
 import dataclasses
@@ -35,13 +39,15 @@
 class ReadRecords:
     """Read the records from an offset on.
 
-    The store waits up to ``wait_ms`` for the first one.
+    The store waits up to ``wait_ms`` for the first one. ``era`` is that of the offset;
+    the read fails in any other one, unless it is 0.
     """
 
     channel: str
     topic: Topic
     start_offset: int
     wait_ms: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +64,7 @@
     next_offset: int
     end_offset: int
     records: tuple
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +91,7 @@
     end_offset: int
     records: tuple
     after_key: str = ""
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +106,7 @@
     reason: str
     expired: bool = False
     first_offset: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +131,7 @@
 
     token: Any
     offset: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,3 +145,23 @@
     token: Any
     reason: str
     definite: bool = False
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraObserved:
+    """Tell the task that calls the store of an era that another node has named."""
+
+    era: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraChanged:
+    """The store has a newer era than this node knew.
+
+    ``restored`` is false if this node knew of no response of the store before, so
+    that it cannot hold anything that the store lost.
+    """
+
+    era: int
+    restored: bool = True
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -1,12 +1,11 @@
 """The task that calls the platform's store over HTTP."""
 
-import dataclasses
 import itertools
 
 import msgspec
 
 from comfreyusher.events import log_info, log_warning
-from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe, replace
+from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe
 from comfreyusher.messages import (
     ClientRequestCancel,
     ClientRequestFailed,
@@ -20,6 +19,7 @@
     Append,
     Appended,
     AppendFailed,
+    EraObserved,
     NewestRead,
     ReadFailed,
     ReadNewest,
@@ -27,12 +27,26 @@
     RecordsRead,
 )
 from comfreyusher.platform._decode import DecodeError
+from comfreyusher.platform._era import (
+    ERA_CHANNELS,
+    StoreEra,
+    is_outdated,
+    observe_era,
+)
+from comfreyusher.platform._pending import (
+    Call,
+    CallKey,
+    PendingCall,
+    check_further_page,
+    without_wait,
+)
 from comfreyusher.platform._wire import (
     build_append_body,
     build_append_target,
     build_newest_target,
     build_read_target,
     decode_append,
+    decode_era,
     decode_first_offset,
     decode_newest,
     decode_records,
@@ -42,67 +56,17 @@
 HTTP_CHANNEL = "platform-http"
 PART = "platform"
 SWEEP_PERIOD_S = 0.25
-CALL_TIMEOUT_S = 1.5
 MIN_SILENCE_TIMEOUT_S = 0.5
 SILENCE_LATENCY_FACTOR = 2.5
 MAX_RESPONSE_BYTES = 8 << 20
-MAX_READ_BYTES = 32 << 20
 MAX_IDLE_S = 1.0
 CALLS_PER_S = 10.0
 BURST_CALLS = 40.0
+RESTORED = "the store was restored from an older copy"
 OK, GONE, CONFLICT, PRECONDITION_FAILED = 200, 410, 409, 412
 DEFINITE_FAILURE_STATUSES = frozenset((400, 403, 404, 429, 503, 507))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallKey:
-    """The exchange of a call; ``number`` makes it unique."""
-
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """What a call sends to the store.
-
-    The store may hold its response back for ``wait_ms``. ``pages`` holds the earlier
-    pages of a ``ReadNewest``, which had ``pages_bytes``.
-    """
-
-    request: object
-    method: str
-    target: str
-    wait_ms: int = 0
-    body: bytes = b""
-    pages: tuple = ()
-    pages_bytes: int = 0
-
-
-class PendingCall:
-    """A call that was sent, and the part of its response received so far.
-
-    The call times out at ``due_s``. A response should have started by
-    ``silent_due_s``. ``may_reuse`` tells whether the call may have been sent on a
-    connection that was idle before.
-    """
-
-    def __init__(self, call, now, silence_timeout_s, may_reuse):
-        wait_s = call.wait_ms / 1000
-        self.call = call
-        self.may_reuse = may_reuse
-        self.sent_s = now
-        self.due_s = now + CALL_TIMEOUT_S + wait_s
-        self.silent_due_s = now + silence_timeout_s + wait_s
-        self.status = 0
-        self.size_bytes = 0
-        self.chunks = []
-
-    @property
-    def is_unanswered_read(self):
-        """Whether it is a read whose response has not started."""
-        return not self.status and not isinstance(self.call.request, Append)
-
-
 class PlatformTask(Task):
     """Runs appends and reads; a token bucket limits the calls per second.
 
@@ -127,7 +91,9 @@
         self.last_sweep_s = self.clock()
         self.sweeping = False
         self.call_count = 0
+        self.store_era = StoreEra()
         self.message_handlers = {
+            EraObserved: self.handle_era_observed,
             Append: self.handle_append,
             ReadRecords: self.handle_read_records,
             ReadNewest: self.handle_read_newest,
@@ -160,13 +126,17 @@
         self._call(Call(request, "GET", target, pages=pages, pages_bytes=pages_bytes))
 
     def _call(self, call):
+        if is_outdated(call.request, self.store_era.era, self.store_era.era):
+            self._fail_outdated(call.request, self.store_era.era)
+            return
         if not self._take_token():
             self._fail(call.request, "over the budget of calls", definite=True)
             return
         now = self.clock()
         may_reuse = self.may_reuse and now - self.last_response_s < MAX_IDLE_S
         timeout_s = max(MIN_SILENCE_TIMEOUT_S, SILENCE_LATENCY_FACTOR * self.latency_s)
-        self._send(PendingCall(call, now, timeout_s, may_reuse))
+        era = self.store_era.era
+        self._send(PendingCall(call, now, timeout_s, may_reuse, era))
 
     def _send(self, pending):
         self.call_count += 1
@@ -203,7 +173,12 @@
     def handle_response_start(self, response):
         """Handle the head of a response, and any body that comes with it."""
         pending = self.calls.get(response.exchange)
-        if pending is not None:
+        if pending is None:
+            return
+        era = decode_era(response.head)
+        pending.era = pending.era if era is None else era
+        self._observe_era(era)
+        if response.exchange in self.calls:
             self.may_reuse = True
             if not pending.call.wait_ms:
                 self.latency_s = self.clock() - pending.sent_s
@@ -224,7 +199,7 @@
             if not response.ended:
                 self.send_message(HTTP_CHANNEL, ClientRequestCancel(response.exchange))
             reason = f"an answer over {MAX_RESPONSE_BYTES} bytes"
-            self._fail(pending.call.request, reason)
+            self._fail(pending.request, reason)
             return
         if not response.ended:
             credit = ClientResponseCredit(response.exchange, len(response.body))
@@ -235,44 +210,54 @@
         self._finish_call(pending, b"".join(pending.chunks))
 
     def _finish_call(self, pending, body):
-        request, status = pending.call.request, pending.status
+        request, status = pending.request, pending.status
+        if is_outdated(request, pending.era, self.store_era.era):
+            self._set_reachable(True)
+            self._fail_outdated(request, pending.era)
+            return
         if status == GONE:
             self._send_expired(request, body)
             return
         if status in (CONFLICT, PRECONDITION_FAILED):
             self._set_reachable(True)
             reason = "the topic has moved on"
-            self.send_message(
-                request.channel, AppendFailed(request.token, reason, True)
-            )
+            failed = AppendFailed(request.token, reason, True, self.store_era.era)
+            self.send_message(request.channel, failed)
             return
         if status != OK:
             definite = status in DEFINITE_FAILURE_STATUSES
             self._fail(request, f"the store answered {status}", definite)
             return
         try:
-            self._send_result(pending.call, body)
+            self._send_result(pending, body)
         except (DecodeError, msgspec.MsgspecError) as error:
             self._fail(request, str(error))
             return
         self._set_reachable(True)
 
     def _send_expired(self, request, body):
+        """Report that the store does not have an offset.
+
+        It has expired if the store keeps a later one first. Otherwise the response is
+        of an older state, though it names no older era.
+        """
         self._set_reachable(True)
+        expired, first_offset = True, 0
         try:
             first_offset = decode_first_offset(body)
+            expired = not self.store_era.era or first_offset > request.start_offset
         except DecodeError as error:
             log_warning(PART, "unreadable response from the store", reason=str(error))
-            first_offset = 0
-        reason = "the offset has expired"
-        self.send_message(
-            request.channel, ReadFailed(request.topic, reason, True, first_offset)
+        reason = "the offset has expired" if expired else "the offset is not there"
+        failed = ReadFailed(
+            request.topic, reason, expired, first_offset, self.store_era.era
         )
+        self.send_message(request.channel, failed)
 
-    def _send_result(self, call, body):
-        request = call.request
+    def _send_result(self, pending, body):
+        request, era = pending.request, pending.era
         if isinstance(request, Append):
-            appended = Appended(request.token, decode_append(body))
+            appended = Appended(request.token, decode_append(body), era)
             self.send_message(request.channel, appended)
         elif isinstance(request, ReadRecords):
             page = decode_records(body, request.start_offset)
@@ -282,38 +267,72 @@
                 page.next_offset,
                 page.end_offset,
                 page.records,
+                era,
             )
             self.send_message(request.channel, read)
         else:
-            self._add_page(call, decode_newest(body), len(body))
+            self._add_page(pending, decode_newest(body), len(body))
 
-    def _add_page(self, call, page, size_bytes):
-        request = call.request
+    def _add_page(self, pending, page, size_bytes):
+        call, request = pending.call, pending.request
         pages = (*call.pages, page)
         if page.after_key and request.all_pages:
             pages_bytes = call.pages_bytes + size_bytes
-            _check_further_page(call, page, pages_bytes)
+            check_further_page(call, page, pages_bytes)
             self.handle_read_newest(request, page.after_key, pages, pages_bytes)
             return
         records = tuple(record for page in pages for record in page.records)
-        read = NewestRead(request.topic, pages[0].end_offset, records, page.after_key)
+        end_offset = pages[0].end_offset
+        read = NewestRead(
+            request.topic, end_offset, records, page.after_key, pending.era
+        )
         self.send_message(request.channel, read)
 
     def handle_request_failed(self, failure):
         """Handle a call that failed without a complete response."""
         pending = self.calls.pop(failure.exchange, None)
         if pending is not None:
-            request = pending.call.request
+            request = pending.request
             self._fail(request, failure.reason, definite=not failure.sent)
 
     def _fail(self, request, reason, definite=False):
         self._set_reachable(False, reason)
+        self._send_failure(request, reason, definite, self.store_era.era)
+
+    def _fail_outdated(self, request, era):
+        """Report a response of another era; the outcome of an append is unknown."""
+        self._send_failure(request, RESTORED, False, era)
+
+    def _send_failure(self, request, reason, definite, era):
         if isinstance(request, Append):
-            self.send_message(
-                request.channel, AppendFailed(request.token, reason, definite)
-            )
+            failed = AppendFailed(request.token, reason, definite, era)
         else:
-            self.send_message(request.channel, ReadFailed(request.topic, reason))
+            failed = ReadFailed(request.topic, reason, era=era)
+        self.send_message(request.channel, failed)
+
+    # Eras ------------------------------------------------------------------
+
+    def handle_era_observed(self, observed):
+        """Handle an era that another node has named."""
+        self._observe_era(observed.era)
+
+    def _observe_era(self, era):
+        """Tell the other tasks of a newer era, and end the reads of older ones.
+
+        Their responses may come from the restored store, with other records at the
+        same offsets, or with pages of both states.
+        """
+        before = self.store_era
+        self.store_era, changed = observe_era(before, era)
+        if changed is None:
+            return
+        restored = changed.restored
+        log_info(PART, "store era", era=era, before=before.era, restored=restored)
+        for channel in ERA_CHANNELS:
+            self.send_message(channel, changed)
+        reads = [k for k, p in self.calls.items() if not isinstance(p.request, Append)]
+        for key in reads if restored else ():
+            self._fail_outdated(self._cancel(key).request, era)
 
     def _set_reachable(self, reachable, reason=""):
         if reachable is self.reachable:
@@ -337,7 +356,7 @@
             pending.silent_due_s += late_s
             if tick.now_s > pending.due_s:
                 self._cancel(key)
-                self._fail(pending.call.request, "no answer in time")
+                self._fail(pending.request, "no answer in time")
         if any(self._is_silent(pending, tick.now_s) for pending in self.calls.values()):
             self._repeat_reads()
         if not self.calls:
@@ -360,25 +379,9 @@
             pending = self._cancel(key)
             pending.may_reuse = False
             pending.sent_s = self.clock()
-            pending.call = _without_wait(pending.call)
+            pending.call = without_wait(pending.call)
             self._send(pending)
 
     def _cancel(self, key):
         self.send_message(HTTP_CHANNEL, ClientRequestCancel(key))
         return self.calls.pop(key)
-
-
-def _check_further_page(call, page, pages_bytes):
-    """Raise ``DecodeError`` if the pages of a read lead back or grow too large."""
-    if call.pages and page.after_key == call.pages[-1].after_key:
-        raise DecodeError("a page of the store leads to itself")
-    if pages_bytes > MAX_READ_BYTES:
-        raise DecodeError(f"pages over {MAX_READ_BYTES} bytes")
-
-
-def _without_wait(call):
-    """Return a read that the store responds to at once."""
-    if not isinstance(call.request, ReadRecords):
-        return call
-    target = build_read_target(replace(call.request, wait_ms=0))
-    return replace(call, target=target, wait_ms=0)
--- a/comfreyusher/platform/_wire.py
+++ b/comfreyusher/platform/_wire.py
@@ -1,18 +1,22 @@
 """Encoding of calls to the store, and decoding of its responses."""
 
 import dataclasses
+import re
 import struct
 from urllib.parse import quote
 
 import msgspec
 
 from comfreyusher.decoding import DecodingError, decode_json
+from comfreyusher.messages import find_header
 from comfreyusher.platform._calls import ANY_END_OFFSET, Record, Topic
 from comfreyusher.platform._decode import DecodeError
 
 RECORD_LENGTH = struct.Struct(">I")
 END_AND_FIRST_OFFSET = struct.Struct(">QQ")
 MAX_KB = 1024
+ERA_HEADER = b"store-era"
+ERA_PATTERN = re.compile(r"[0-9]{1,15}")
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
     Topic.UPSTREAMS: "keyed.servers",
@@ -105,6 +109,15 @@
     return f"{target}&after={quote(after_key, safe='')}" if after_key else target
 
 
+def decode_era(head):
+    """Return the era that a response of any status names, or ``None``.
+
+    A value that is no whole number counts as none.
+    """
+    value = find_header(head, ERA_HEADER)
+    return int(value) if value and ERA_PATTERN.fullmatch(value) else None
+
+
 def decode_append(body):
     """Return the offset in the response to an append.
 
