--- a/comfreyusher/feeds/_catch_up.py
+++ b/comfreyusher/feeds/_catch_up.py
@@ -4,7 +4,7 @@
 from comfreyusher.feeds._relay import store_read_delay_s
 from comfreyusher.feeds._state import Position
 from comfreyusher.flow import replace
-from comfreyusher.platform import Topic
+from comfreyusher.platform import NewestRead, Topic
 
 CATCH_UP_JITTER_S = 0.25
 RETRY_BEHIND_S = 0.4
@@ -42,8 +42,8 @@
         """
         position = state.position
         if not watermark.changed_offset and not position.known and topic in OWN_TOPICS:
-            position = Position(known=True)
-            self.view.send_records(topic, 0, ())
+            position = Position(known=True, era=position.era)
+            self.view.send_records(topic, NewestRead(topic, 0, (), era=position.era))
         if watermark.changed_offset > state.target_offset:
             state.target_offset, state.target_since_s = watermark.changed_offset, now
         if position.known and position.end_offset >= state.target_offset:
--- a/comfreyusher/feeds/_exchange.py
+++ b/comfreyusher/feeds/_exchange.py
@@ -41,15 +41,29 @@
         """Whether this node is the root of its data centre's tree."""
         return self.data_centre_nodes[:1] == (self.own.node,)
 
-    def request_snapshot(self, node, topic):
-        """Request from a node what it has of a topic beyond this node's position."""
+    def request_snapshot(self, node, topic, end_offset=None):
+        """Request from a node what it has of a topic beyond this node's position.
+
+        Or beyond ``end_offset``, if given.
+        """
         state = self.topics[topic]
         state.requested_node, state.requested_s = node, self.clock()
-        end_offset = state.position.end_offset if state.position.known else -1
-        self.send_message(
-            "peers",
-            ToNode(node, SnapshotRequest(self.own.node, topic.value, end_offset)),
+        request = SnapshotRequest(
+            self.own.node,
+            topic.value,
+            self._find_requested_offset(topic, state)
+            if end_offset is None
+            else end_offset,
+            state.position.era,
         )
+        self.send_message("peers", ToNode(node, request))
+
+    def _find_requested_offset(self, topic, state):
+        """Return the offset after which this node needs data; -1 if it has none."""
+        if state.position.known:
+            return state.position.end_offset
+        keeps_data = topic in REQUIRED_TOPICS and self.view.has_data(topic)
+        return 0 if keeps_data and state.position.era else -1
 
     def request_from_parent(self, topic):
         """Send a request to the parent of this node; return whether it has one."""
@@ -103,12 +117,21 @@
                     self._send_snapshot(topic, request.requester)
             return
         topic = Topic(request.topic)
-        pending = PendingRequest(
-            request.end_offset, self.clock() + PENDING_REQUEST_TIMEOUT_S
-        )
+        position = self.topics[topic].position
+        end_offset = request.end_offset
+        if request.era < position.era:
+            end_offset = min(0, end_offset)
+        pending = PendingRequest(end_offset, self.clock() + PENDING_REQUEST_TIMEOUT_S)
         self.topics[topic].pending_requests[request.requester] = pending
+        if end_offset < 0 and self._has_only_older_data(topic, position):
+            self._send_snapshot(topic, request.requester)
         self.respond_to_pending(topic)
 
+    def _has_only_older_data(self, topic, position):
+        """Return whether this node has data of an older era of the store only."""
+        is_reset = position.era and not position.known
+        return is_reset and topic in REQUIRED_TOPICS and self.view.has_data(topic)
+
     def respond_to_pending(self, topic):
         """Send snapshots for the pending requests that can be answered by now."""
         for node in self.topics[topic].pop_ready_requesters(self.clock()):
--- a/comfreyusher/feeds/_messages.py
+++ b/comfreyusher/feeds/_messages.py
@@ -25,10 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeclarationsRead:
-    """Records of declarations, and the offset after them."""
+    """Records of declarations, and the offset after them.
+
+    ``whole`` tells that they are the newest ones of the whole topic.
+    """
 
     end_offset: int
     records: tuple
+    era: int = 0
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +42,8 @@
 
     end_offset: int
     records: tuple
+    era: int = 0
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/feeds/_outage.py
+++ b/comfreyusher/feeds/_outage.py
@@ -1,4 +1,4 @@
-"""When the store was unavailable, and when removals take effect after its return."""
+"""When the store was unavailable or restored, and when removals take effect then."""
 
 RETURN_GRACE_S = 2.2
 OUTAGE_AFTER_S = 2.5
@@ -11,12 +11,14 @@
     The store counts as unavailable if no node of the region reported a response
     of the store for longer than another reader needs to take over.
     ``confirmed_s`` is when the store last responded to any node, ``regained_s``
-    when it first did so after an outage.
+    when it first did so after an outage, ``restored_s`` when this node learned that
+    the store has a new era.
     """
 
     def __init__(self, now):
         self.confirmed_s = now
         self.regained_s = AT_ONCE_S
+        self.restored_s = AT_ONCE_S
 
     def confirm(self, responded_s):
         """Record when the store responded to this node or to a reader."""
@@ -32,4 +34,14 @@
         """
         is_unavailable = now - self.confirmed_s > OUTAGE_AFTER_S
         due_s = RETURN_GRACE_S + (now if is_unavailable else self.regained_s)
+        due_s = max(due_s, self.earliest_removal_s(now))
+        return due_s if due_s > now else AT_ONCE_S
+
+    def earliest_removal_s(self, now):
+        """Return before when no removal takes effect, whatever other nodes say.
+
+        A store that was restored lacks the entries that were written since its copy;
+        their owners write them again. A node that started since does not know them.
+        """
+        due_s = RETURN_GRACE_S + self.restored_s
         return due_s if due_s > now else AT_ONCE_S
--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -31,7 +31,9 @@
         base_offset = self.topics[Topic.UPSTREAMS].position.changed_offset
         newest = keep_last_entries(delta)
         entries = add_removal_delays(self.view.registry, newest, now)
-        self.pending_deltas.append(PendingDelta(base_offset, end_offset, entries))
+        era = self.topics[Topic.UPSTREAMS].position.era
+        delta = PendingDelta(base_offset, end_offset, entries, era)
+        self.pending_deltas.append(delta)
 
     def send(self, last_read_s, now):
         """Send this reader's watermarks and the pending deltas to the region.
@@ -47,7 +49,11 @@
         ]
         watermarks = build_watermarks(self.topics, now)
         read_age_ms = age_ms(last_read_s, now)
-        messages.append(FeedWatermarks(self.own.node, watermarks, read_age_ms))
+        era = self.topics[Topic.UPSTREAMS].position.era
+        version = self.view.configuration_version
+        messages.append(
+            FeedWatermarks(self.own.node, watermarks, read_age_ms, era, version)
+        )
         for node in self.exchange.nodes:
             if node != self.own.node:
                 for body in messages:
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -10,6 +10,7 @@
 import immutables
 
 from comfreyusher.declarations import PlatformConfiguration
+from comfreyusher.feeds._outage import AT_ONCE_S
 from comfreyusher.flow import replace
 from comfreyusher.messages import RegisteredUpstream
 from comfreyusher.platform import (
@@ -28,13 +29,15 @@
     """How far a topic was read.
 
     ``end_offset`` is the next offset to read, ``changed_offset`` the one after the
-    last relevant change, and ``confirmed_s`` when the store last confirmed both.
+    last relevant change, both in the ``era`` of the store, and ``confirmed_s`` when
+    the store last confirmed both.
     """
 
     known: bool = False
     end_offset: int = 0
     changed_offset: int = 0
     confirmed_s: float = NEVER_S
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,10 +50,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamRegistry:
-    """The upstreams by name, and removals that are yet to take effect."""
+    """The upstreams by name, and removals that are yet to take effect.
+
+    ``left`` maps upstreams that were leaving when the store was restored to the Unix
+    time of their start. The store may list them as ready again.
+    """
 
     upstreams: immutables.Map = immutables.Map()
     pending_removals: immutables.Map = immutables.Map()
+    left: immutables.Map = immutables.Map()
 
 
 class Effect(enum.Enum):
@@ -114,28 +122,29 @@
     )
 
 
-def apply_delta(registry, entries, now, removal_due_s):
+def apply_delta(registry, entries, now, removal_due_s, earliest_s=AT_ONCE_S):
     """Apply entries that another node has read; return the ``ApplyResult``.
 
     ``removal_due_s`` is when a removal takes effect by this node's own view of the
     store. The other node may have been cut off itself, so its delay can only make
-    that earlier, never later.
+    that earlier, never later, but not earlier than ``earliest_s``.
     """
 
     def removal_due_s_of(entry):
         sender_due_s = (
             now + entry.removal_delay_ms / 1000 if entry.removal_delay_ms else NEVER_S
         )
-        return min(sender_due_s, removal_due_s)
+        return max(min(sender_due_s, removal_due_s), earliest_s)
 
     return _apply_entries(registry, entries, removal_due_s_of)
 
 
-def apply_snapshot(registry, entries, now, removal_due_s):
+def apply_snapshot(registry, entries, now, removal_due_s, earliest_s=AT_ONCE_S):
     """Apply all entries of another node; return the ``ApplyResult``."""
     names = {entry.name for entry in entries}
     missing = _missing_removals(registry, names)
-    return apply_delta(registry, (*entries, *missing), now, removal_due_s)
+    entries = (*entries, *missing)
+    return apply_delta(registry, entries, now, removal_due_s, earliest_s)
 
 
 def build_snapshot_entries(registry, now):
@@ -190,6 +199,7 @@
     """Apply entries; ``removal_due_s_of`` returns when a removal takes effect."""
     changed, delta = [], []
     for entry in entries:
+        entry = _keep_leaving(registry, entry)
         registry, effect = _apply_entry(registry, entry, removal_due_s_of(entry))
         if effect is Effect.IMMEDIATE:
             changed.append(entry)
@@ -209,7 +219,8 @@
         upstreams = registry.upstreams.delete(entry.name)
         if entry.name in pending_removals:
             pending_removals = pending_removals.delete(entry.name)
-        return UpstreamRegistry(upstreams, pending_removals), Effect.IMMEDIATE
+        registry = UpstreamRegistry(upstreams, pending_removals, registry.left)
+        return registry, Effect.IMMEDIATE
     if entry.name in pending_removals:
         return registry, Effect.NONE
     removal = PendingRemoval(entry.name, removal_due_s)
@@ -217,6 +228,27 @@
     return replace(registry, pending_removals=pending_removals), Effect.DEFERRED
 
 
+def remember_left(registry, retired):
+    """Return the registry that keeps the upstreams leaving that are leaving now.
+
+    ``retired`` maps those that left lately to the Unix time of their start.
+    """
+    leaving = {
+        name: entry.started_ms
+        for name, entry in registry.upstreams.items()
+        if entry.leaving
+    }
+    return replace(registry, left=immutables.Map({**retired, **leaving}))
+
+
+def _keep_leaving(registry, entry):
+    """Return an entry that an older copy of the store may show as ready."""
+    started_ms = registry.left.get(entry.name)
+    if started_ms is None or entry.removed or entry.started_ms > started_ms:
+        return entry
+    return replace(entry, leaving=True)
+
+
 def _register_entry(registry, entry):
     effect = Effect.NONE
     if entry.name in registry.pending_removals:
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -1,10 +1,10 @@
 """The task that follows the store's topics, directly or through other nodes."""
 
-import math
 import random
 
 from comfreyusher.events import log_info
 from comfreyusher.feeds._catch_up import OWN_TOPICS, CatchUp
+from comfreyusher.feeds._era import begin_era
 from comfreyusher.feeds._exchange import REQUIRED_TOPICS, SnapshotExchange
 from comfreyusher.feeds._messages import (
     ReadNow,
@@ -14,14 +14,9 @@
 from comfreyusher.feeds._outage import Outage
 from comfreyusher.feeds._publisher import RegionPublisher
 from comfreyusher.feeds._reader import backoff_s, rank_readers
+from comfreyusher.feeds._received import RegionData
 from comfreyusher.feeds._relay import first_read_delay_s
-from comfreyusher.feeds._state import (
-    NEVER_S,
-    Position,
-    apply_delta,
-    apply_due_removals,
-    apply_snapshot,
-)
+from comfreyusher.feeds._state import NEVER_S, apply_due_removals
 from comfreyusher.feeds._topic import TopicState
 from comfreyusher.feeds._view import PART, FeedView
 from comfreyusher.flow import Subscribe, Task, Tick, replace
@@ -32,6 +27,7 @@
     UpstreamDelta,
 )
 from comfreyusher.platform import (
+    EraChanged,
     NewestRead,
     ReadFailed,
     ReadNewest,
@@ -43,7 +39,7 @@
 CHANNEL = "feeds"
 TICK_PERIOD_S = 0.25
 OWN_TOPIC_WAIT_S = 10.0
-STORE, PEER = "store", "peer"
+STORE = "store"
 FOLLOWED_TOPICS = (Topic.UPSTREAMS, Topic.CONFIGURATION, *OWN_TOPICS)
 TOPIC_BY_NAME = {topic.value: topic for topic in FOLLOWED_TOPICS}
 
@@ -63,7 +59,7 @@
         self.topics = {topic: TopicState() for topic in FOLLOWED_TOPICS}
         self.rank = 0
         self.is_reader = False
-        self.view = FeedView(self._forward_message)
+        self.view = FeedView(self._forward_message, self.clock)
         self.exchange = SnapshotExchange(
             own, self.topics, self.view, self.clock, self._forward_message
         )
@@ -73,15 +69,24 @@
         self.catch_up = CatchUp(timings, self.view, self.exchange, self.random)
         self.last_read_s = NEVER_S
         self.outage = Outage(self.clock())
+        self.region_data = RegionData(
+            self.topics,
+            self.view,
+            self.exchange,
+            self.catch_up,
+            self.outage,
+            self._forward_message,
+        )
         self.started_s = 0.0
         self.message_handlers = {
+            EraChanged: self.handle_era_changed,
             RegionChanged: self.handle_region_changed,
             RecordsRead: self.handle_records_read,
             NewestRead: self.handle_newest_read,
             ReadFailed: self.handle_read_failed,
             FeedWatermarks: self.handle_feed_watermarks,
             UpstreamDelta: self.handle_upstream_delta,
-            SnapshotRequest: self.exchange.handle_snapshot_request,
+            SnapshotRequest: self.handle_snapshot_request,
             SnapshotResponse: self.handle_snapshot_response,
             ReadNow: self.handle_read_now,
             Tick: self.handle_tick,
@@ -108,6 +113,23 @@
         nodes = self.exchange.nodes
         return nodes.index(node) if node in nodes else len(nodes)
 
+    # Eras --------------------------------------------------------------------
+
+    @property
+    def era(self):
+        """The newest era of the store that this node knows."""
+        return self.topics[Topic.UPSTREAMS].position.era
+
+    def handle_era_changed(self, changed):
+        """Handle a newer era that the store has named."""
+        self._is_current(changed.era)
+
+    def _is_current(self, era):
+        """Return whether data is of the newest era; begin that era if it is new."""
+        if era > self.era:
+            begin_era(self, era)
+        return era == self.era
+
     # Store -------------------------------------------------------------------
 
     def _call_store(self, topic, wait_s=0.0):
@@ -116,9 +138,10 @@
             return
         state.call_pending = True
         state.call_started_s = self.clock()
+        state.call_era = self.era
         if state.can_follow and not self._needs_only_newest(topic, state):
             start = state.position.end_offset
-            call = ReadRecords(CHANNEL, topic, start, int(wait_s * 1000))
+            call = ReadRecords(CHANNEL, topic, start, int(wait_s * 1000), self.era)
         else:
             call = ReadNewest(CHANNEL, topic)
         self.send_message("platform", call)
@@ -140,6 +163,9 @@
         Leaves out those received from another node during the call.
         """
         state = self.topics[read.topic]
+        if not self._is_current(read.era) or state.call_era != self.era:
+            self._repeat_call(read.topic)
+            return
         position = state.position
         if read.end_offset < read.start_offset:
             self._discard_old_response(read)
@@ -158,12 +184,23 @@
 
     def handle_newest_read(self, read):
         """Apply the newest records of a whole topic."""
+        if not self._is_current(read.era):
+            self._repeat_call(read.topic)
+            return
         if read.end_offset < self.topics[read.topic].position.end_offset:
             self._discard_old_response(read)
             return
         changed = self._apply_records(read, read.end_offset, whole=True, source=STORE)
         self._update_position(read.topic, read.end_offset, changed, behind=False)
 
+    def _repeat_call(self, topic):
+        """Read a topic again after a response of, or to an offset of, another era."""
+        state = self.topics[topic]
+        state.call_pending = False
+        state.next_call_s = self.clock()
+        if self.is_reader:
+            self._read_if_needed(topic, state, self.clock())
+
     def _discard_old_response(self, read):
         """Ignore a response older than this node's position, and read again soon."""
         state = self.topics[read.topic]
@@ -214,6 +251,10 @@
     def handle_read_failed(self, failure):
         """Back off; if the offset has expired, read the newest records at once."""
         state = self.topics[failure.topic]
+        self._is_current(max(failure.era, self.era))
+        if state.call_era != self.era:
+            self._repeat_call(failure.topic)
+            return
         state.call_pending = False
         if failure.expired:
             state.offset_expired = True
@@ -238,9 +279,12 @@
                 state.next_call_s = min(state.next_call_s, now)
 
     def _last_confirmed_s(self):
-        """Return when the store last confirmed the upstreams, or else the start."""
+        """Return when the store last confirmed the upstreams, or else the start.
+
+        A new era counts too: the data of it may take as long to arrive.
+        """
         position = self.topics[Topic.UPSTREAMS].position
-        return max(position.confirmed_s, self.started_s)
+        return max(position.confirmed_s, self.started_s, self.outage.restored_s)
 
     def _apply_records(self, read, end_offset, whole, source):
         """Apply records of a topic; return whether they may concern other nodes.
@@ -266,11 +310,13 @@
         Stop reading if that reader is earlier in the order, and the store has
         responded to it recently.
         """
+        if not self._is_current(message.era):
+            return
         now = self.clock()
         rank = self._rank_of(message.node)
         for watermark in message.topics:
             topic = TOPIC_BY_NAME.get(watermark.topic)
-            if topic is None:
+            if topic is None or watermark.era != self.era:
                 continue  # a node of a later version knows more topics
             self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
             if topic is Topic.UPSTREAMS:
@@ -280,74 +326,26 @@
                 self.is_reader = False
                 self.publisher.stop()
                 log_info(PART, "reader stops", better=message.node)
+        if self.era:
+            self.region_data.compare_versions(message)
 
     def handle_upstream_delta(self, delta):
         """Apply changes of upstreams that a reader has read."""
-        state = self.topics[Topic.UPSTREAMS]
-        position = state.position
-        if (
-            not position.known
-            or not delta.base_offset <= position.end_offset < delta.changed_offset
-        ):
-            return
-        entries = state.collect_pages(delta)
-        if entries is None:
-            return
-        now = self.clock()
-        removal_due_s = self.outage.removal_due_s(now)
-        result = apply_delta(self.view.registry, entries, now, removal_due_s)
-        self.view.update_registry(result, delta.node)
-        state.position = replace(
-            position,
-            end_offset=delta.changed_offset,
-            changed_offset=delta.changed_offset,
-        )
-        state.drop_pages(delta.changed_offset)
-        self.exchange.respond_to_pending(Topic.UPSTREAMS)
+        if self._is_current(delta.era):
+            self.region_data.apply_delta(delta)
 
-    # Snapshots -------------------------------------------------------------------
+    def handle_snapshot_request(self, request):
+        """Send a snapshot to another node."""
+        self._is_current(request.era)
+        self.exchange.handle_snapshot_request(request)
 
     def handle_snapshot_response(self, snapshot):
-        """Apply a snapshot of another node, if this node has not read as far."""
-        topic = Topic(snapshot.watermark.topic)
-        state = self.topics[topic]
-        watermark = snapshot.watermark
-        position = state.position
-        if position.known and position.end_offset >= watermark.changed_offset:
-            return
-        if watermark.end_offset < position.end_offset:
-            return  # older than this node's data from before the offset expired
-        records = (
-            self.view.decompress_records(topic, snapshot.records)
-            if snapshot.records
-            else ()
-        )
-        if records is None:
-            return
-        now = self.clock()
-        is_first = state.never_confirmed
-        state.position = Position(
-            True,
-            watermark.end_offset,
-            watermark.changed_offset,
-            now - watermark.age_ms / 1000,
-        )
-        log_info(PART, "snapshot taken", topic=topic.value, age_ms=watermark.age_ms)
-        if topic is Topic.UPSTREAMS:
-            removal_due_s = math.inf if is_first else self.outage.removal_due_s(now)
-            registry = self.view.registry
-            result = apply_snapshot(registry, snapshot.upstreams, now, removal_due_s)
-            self.view.update_registry(result, PEER)
-            self.send_message(
-                "node", UpstreamsChanged(self.view.registry.upstreams, ())
-            )
-        else:
-            read = NewestRead(topic, watermark.end_offset, records)
-            self._apply_records(read, watermark.end_offset, whole=True, source=PEER)
-        self.exchange.respond_to_pending(topic)
-        state.behind = state.target_offset > watermark.end_offset
-        if state.behind:
-            self.catch_up.start(topic, state, now)
+        """Apply a snapshot of another node.
+
+        A newer version of the configuration counts whatever era it is from.
+        """
+        is_current = self._is_current(snapshot.watermark.era)
+        self.region_data.apply_snapshot(snapshot, is_current)
 
     # Time ------------------------------------------------------------------------
 
@@ -393,4 +391,5 @@
         elif state.behind and self.catch_up.is_relayed(topic, state):
             self.exchange.request_from_next(topic, now)
         elif topic in REQUIRED_TOPICS and not state.position.known:
-            self._call_store(topic)
+            if now >= state.store_read_due_s:
+                self._call_store(topic)
--- a/comfreyusher/feeds/_topic.py
+++ b/comfreyusher/feeds/_topic.py
@@ -33,12 +33,14 @@
     ``store_read_due_s``. ``offset_expired`` is set when the store no longer has
     the records after the position. ``pending_requests`` are the requests of
     other nodes that wait for newer data, by requester; ``delta_pages`` the pages
-    of incomplete deltas, by reader. Times are monotonic seconds.
+    of incomplete deltas, by reader. ``call_era`` is the era of the position when the
+    pending call was made. Times are monotonic seconds.
     """
 
     def __init__(self):
         self.position = Position()
         self.call_pending = False
+        self.call_era = 0
         self.call_started_s = 0.0
         self.next_call_s = 0.0
         self.failures = 0
@@ -64,6 +66,20 @@
         """Whether the records after the position can be read from the store."""
         return self.position.known and not self.offset_expired
 
+    def begin_era(self, era, store_read_due_s):
+        """Forget the position, which is of an older era, and all that rests on it."""
+        self.position = Position(confirmed_s=self.position.confirmed_s, era=era)
+        self.offset_expired = False
+        self.behind = False
+        self.target_offset = 0
+        self.requested_node, self.requested_s = "", 0.0
+        self.store_read_due_s = store_read_due_s
+        self.delta_pages = {}
+        self.pending_requests = {
+            node: replace(request, end_offset=min(request.end_offset, 0))
+            for node, request in self.pending_requests.items()
+        }
+
     def waited_ms(self, now):
         """Return for how many milliseconds this node has known of newer records."""
         return int((now - self.target_since_s) * 1000) if self.behind else 0
--- a/comfreyusher/feeds/_view.py
+++ b/comfreyusher/feeds/_view.py
@@ -16,11 +16,13 @@
     apply_configuration,
     apply_newest_records,
     apply_upstream_records,
+    remember_left,
 )
 from comfreyusher.feeds._topic import update_newest
 from comfreyusher.platform import Record, Topic
 
 PART = "feeds"
+RETIRED_KEPT_S = 60.0
 RECORD_TOPICS = (Topic.CONFIGURATION, Topic.DECLARATIONS, Topic.QUARANTINES)
 CHANNELS = {Topic.DECLARATIONS: "configuration", Topic.QUARANTINES: "quarantine"}
 MESSAGES = {Topic.DECLARATIONS: DeclarationsRead, Topic.QUARANTINES: QuarantinesRead}
@@ -31,11 +33,16 @@
 
     The newest records are kept for snapshots to other nodes. ``send_message``
     takes a channel and a message. A ``source`` is the node that sent some data,
-    or the store; it is only logged.
+    or the store; it is only logged. ``compressed_records`` maps a key to the record
+    and its compressed form: records of different eras may have the same offset.
+    ``retired`` maps upstreams that were removed while they were leaving to the Unix
+    time of their start and the time of their removal.
     """
 
-    def __init__(self, send_message):
+    def __init__(self, send_message, clock):
         self.send_message = send_message
+        self.clock = clock
+        self.retired = {}
         self.registry = UpstreamRegistry()
         self.configuration = None
         self.newest_records = {topic: {} for topic in RECORD_TOPICS}
@@ -62,9 +69,49 @@
         if result.changed:
             for entry in result.changed:
                 log_upstream(previous, entry, source)
+                self._remember_retired(previous.upstreams.get(entry.name), entry)
             message = UpstreamsChanged(self.registry.upstreams, result.changed)
             self.send_message("node", message)
 
+    def _remember_retired(self, known, entry):
+        if entry.removed and known is not None and known.leaving:
+            now = self.clock()
+            self._forget_retired(now)
+            self.retired[entry.name] = (known.started_ms, now)
+
+    def _forget_retired(self, now):
+        """Forget the upstreams that left before any copy of the store was made."""
+        for name in list(self.retired):
+            if now - self.retired[name][1] <= RETIRED_KEPT_S:
+                break
+            del self.retired[name]
+
+    # Eras ----------------------------------------------------------------------
+
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force, or -1."""
+        return -1 if self.configuration is None else self.configuration.version
+
+    def has_data(self, topic):
+        """Return whether this node has any data of a required topic."""
+        if topic is Topic.CONFIGURATION:
+            return self.configuration is not None
+        return bool(self.registry.upstreams)
+
+    def begin_era(self):
+        """Prepare for data of a store that was restored from an older copy.
+
+        The configuration and the upstreams stay in use. Records of our own topics
+        that the store has lost are published again by the tasks that use them.
+        """
+        self._forget_retired(self.clock())
+        retired = {name: started_ms for name, (started_ms, _) in self.retired.items()}
+        self.registry = remember_left(self.registry, retired)
+        for topic in CHANNELS:
+            self.newest_records[topic].clear()
+            self.compressed_records[topic].clear()
+
     # Records -------------------------------------------------------------------
 
     def update_records(self, topic, read, whole, source, waited_ms):
@@ -77,12 +124,13 @@
             return self._update_configuration(read.records, source, waited_ms)
         update_newest(self.newest_records[topic], read.records)
         if read.records or whole:
-            self.send_records(topic, read.end_offset, read.records)
+            self.send_records(topic, read, whole)
         return bool(read.records)
 
-    def send_records(self, topic, end_offset, records):
+    def send_records(self, topic, read, whole=True):
         """Send records of one of our own topics to the task that uses them."""
-        self.send_message(CHANNELS[topic], MESSAGES[topic](end_offset, records))
+        records = MESSAGES[topic](read.end_offset, read.records, read.era, whole)
+        self.send_message(CHANNELS[topic], records)
 
     def _update_configuration(self, records, source, waited_ms):
         result = apply_configuration(self.configuration, records)
@@ -104,9 +152,9 @@
         compressed = self.compressed_records.get(topic, {})
         for key, record in self.newest_records.get(topic, {}).items():
             known = compressed.get(key)
-            if known is None or known.offset != record.offset:
-                compressed[key] = compress_record(record)
-        return tuple(compressed[key] for key in self.newest_records.get(topic, {}))
+            if known is None or known[0] is not record:
+                compressed[key] = (record, compress_record(record))
+        return tuple(compressed[key][1] for key in self.newest_records.get(topic, {}))
 
     def decompress_records(self, topic, compressed):
         """Return the ``Record`` tuple of another node, or ``None`` if unreadable."""
@@ -118,5 +166,6 @@
         except zlib.error as error:
             log_warning(PART, "snapshot refused", topic=topic.value, reason=str(error))
             return None
-        self.compressed_records[topic].update({item.key: item for item in compressed})
+        pairs = zip(records, compressed, strict=True)
+        self.compressed_records[topic].update({pair[0].key: pair for pair in pairs})
         return records
--- a/comfreyusher/feeds/_watermarks.py
+++ b/comfreyusher/feeds/_watermarks.py
@@ -20,6 +20,7 @@
     base_offset: int
     changed_offset: int
     entries: tuple
+    era: int = 0
     sends_left: int = DELTA_SENDS
 
 
@@ -34,7 +35,13 @@
     for page, start in enumerate(starts):
         entries = delta.entries[start : start + ENTRIES_PER_PAGE]
         yield UpstreamDelta(
-            node, delta.base_offset, delta.changed_offset, entries, page, len(starts)
+            node,
+            delta.base_offset,
+            delta.changed_offset,
+            entries,
+            page,
+            len(starts),
+            delta.era,
         )
 
 
@@ -47,7 +54,7 @@
     """Return the watermark of a topic's position."""
     age = age_ms(position.confirmed_s, now)
     return TopicWatermark(
-        topic.value, position.end_offset, position.changed_offset, age
+        topic.value, position.end_offset, position.changed_offset, age, position.era
     )
 
 
--- a/comfreyusher/membership/_protocol.py
+++ b/comfreyusher/membership/_protocol.py
@@ -320,7 +320,9 @@
     own = state.own
     if own not in members and kind is not GossipKind.PAGE:
         members = (own, *members)
-    message = GossipMessage(own.node, kind, sequence, target, members, own.offset)
+    message = GossipMessage(
+        own.node, kind, sequence, target, members, own.offset, own.era
+    )
     return ToHostPort(host, port, message)
 
 
--- a/comfreyusher/membership/_records.py
+++ b/comfreyusher/membership/_records.py
@@ -41,9 +41,11 @@
 
 
 def _update_offset(state, known, record):
-    if record.node != known.node or record.offset <= known.offset:
+    if record.node != known.node:
         return state
-    known = replace(known, offset=record.offset)
+    if (record.era, record.offset) <= (known.era, known.offset):
+        return state
+    known = replace(known, offset=record.offset, era=record.era)
     return replace(state, members=state.members.set(known.name, known))
 
 
--- a/comfreyusher/membership/_task.py
+++ b/comfreyusher/membership/_task.py
@@ -47,6 +47,7 @@
     """This node has applied the configuration up to an offset."""
 
     offset: int
+    era: int = 0
 
 
 class MembershipTask(Task):
@@ -94,7 +95,7 @@
 
     def handle_offset_reached(self, reached):
         """Send the new configuration offset in later messages."""
-        own = replace(self.state.own, offset=reached.offset)
+        own = replace(self.state.own, offset=reached.offset, era=reached.era)
         members = self.state.members.set(own.name, own)
         self.state = replace(self.state, own=own, members=members)
 
@@ -126,8 +127,9 @@
         """Handle a gossip message of another node."""
         running_s = self.tick_monitor.running_s(self.clock())
         self._apply_step(handle_message(self.state, message, running_s, self.settings))
-        if message.offset > self.state.own.offset:
-            update = OffsetUpdate(message.sender, message.offset)
+        own = self.state.own
+        if (message.era, message.offset) > (own.era, own.offset):
+            update = OffsetUpdate(message.sender, message.offset, message.era)
             self.send_message("configuration", update)
 
     def _apply_step(self, step):
@@ -140,7 +142,7 @@
 
     def _publish_members(self):
         members = tuple(
-            replace(record, offset=0, version=0, standing=MemberStanding.ALIVE)
+            replace(record, offset=0, era=0, version=0, standing=MemberStanding.ALIVE)
             for record in live_members(self.state)
         )
         if members == self.view:
--- a/comfreyusher/messages/_control.py
+++ b/comfreyusher/messages/_control.py
@@ -39,6 +39,7 @@
 
     node: str
     offset: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -1,6 +1,7 @@
 """Messages that distribute between nodes what was read from the platform's store.
 
-Offsets are positions in a topic of the store.
+Offsets are positions in a topic of the store. ``era`` tells how often the store had
+been restored from an older copy; offsets of different eras cannot be compared.
 """
 
 import dataclasses
@@ -40,6 +41,7 @@
     end_offset: int
     changed_offset: int
     age_ms: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,11 +50,16 @@
 
     ``read_age_ms`` is how long ago the store last responded to this reader
     itself; the ages in ``topics`` may come from other readers.
+    ``configuration_version`` is that of the configuration in force on the sender. A
+    node that has a newer one than a reader sends the reader this message without
+    ``topics``.
     """
 
     node: str
     topics: tuple[TopicWatermark, ...]
     read_age_ms: int = 0
+    era: int = 0
+    configuration_version: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,13 +82,15 @@
     requester: str
     topic: str = ""
     end_offset: int = -1
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SnapshotResponse:
     """All that a node knows of a topic: compressed records, or upstreams.
 
-    ``watermark`` tells how far the sender has read the topic.
+    ``watermark`` tells how far the sender has read the topic. One without changes
+    tells that the data is from an older era than the sender knows by now.
     """
 
     watermark: TopicWatermark
@@ -104,3 +113,4 @@
     upstreams: tuple[RegisteredUpstream, ...]
     page: int = 0
     page_count: int = 1
+    era: int = 0
--- a/comfreyusher/messages/_gossip.py
+++ b/comfreyusher/messages/_gossip.py
@@ -33,7 +33,7 @@
 
     ``node`` is ``name.incarnation``. ``version`` grows when the member itself
     refutes a suspicion. ``offset`` is the configuration offset that the member
-    had.
+    had, in the ``era`` of the store.
     """
 
     node: str
@@ -47,6 +47,7 @@
     standing: MemberStanding = MemberStanding.ALIVE
     version: int = 0
     offset: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,3 +60,4 @@
     target: str = ""
     members: tuple[MemberRecord, ...] = ()
     offset: int = 0
+    era: int = 0
