--- a/comfreyusher/configuration/_publications.py
+++ b/comfreyusher/configuration/_publications.py
@@ -32,7 +32,7 @@
     """A publication; ``record`` is appended again when the topic moved on.
 
     ``started_s`` is the time of the task's clock. ``offset`` is the position
-    of the record once it is settled, or of the conflict.
+    of the record once it is settled, or of the conflict, in the ``era`` of the store.
     """
 
     publish_id: str
@@ -43,13 +43,21 @@
     state: PublicationState = PublicationState.APPENDING
     offset: int = 0
     reason: str = ""
+    era: int = 0
 
 
 def update_outcome(publication, declarations):
     """Return the publication with the outcome that the declarations show."""
     offset = declarations.settled.get(publication.publish_id)
     if offset is not None:
-        return replace(publication, state=PublicationState.SETTLED, offset=offset)
+        if publication.state is PublicationState.SETTLED:
+            return publication
+        return replace(
+            publication,
+            state=PublicationState.SETTLED,
+            offset=offset,
+            era=declarations.era,
+        )
     conflict = declarations.conflicts.get(publication.publish_id)
     if conflict is not None:
         return replace(
@@ -83,6 +91,23 @@
     return replace(publication, state=PublicationState.UNSETTLED, reason=reason)
 
 
+def begin_era(publication, declarations):
+    """Return the publication after the store was restored from an older copy.
+
+    A record in force that the store has lost is published again, see ``Republisher``,
+    and is settled by that. One whose outcome was open is appended again: a second copy
+    of it has the same publish id, and changes nothing.
+    """
+    entry = declarations.entries.get(publication.key)
+    is_in_force = entry and entry.record.publish_id == publication.publish_id
+    if publication.state is PublicationState.SETTLED:
+        if not is_in_force or entry.era == declarations.era:
+            return publication
+        reason = "the store was restored without it"
+        return replace(publication, state=PublicationState.UNSETTLED, reason=reason)
+    return publication if is_in_force else mark_moved_on(publication)
+
+
 def mark_moved_on(publication):
     """Return the publication as one that is yet to be appended at the newest offset."""
     if publication.state in (PublicationState.SETTLED, PublicationState.CONFLICT):
--- a/comfreyusher/declarations/_fold.py
+++ b/comfreyusher/declarations/_fold.py
@@ -4,6 +4,11 @@
 same base are conflicts. A node that starts from the newest record of each name
 accepts every one without a check of its base. A record below the
 next offset to read changes nothing, so the state of a node never goes back.
+
+The store may be restored from an older copy, which lacks the newest records. An entry
+that the store has not confirmed in its newest era stays in force, and is published
+again unchanged. A record of the same or a higher revision that the topic holds instead
+replaces it, so that all nodes agree again.
 """
 
 import dataclasses
@@ -27,11 +32,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeclarationEntry:
-    """A declaration in force; ``value`` is an instance of a class in ``KINDS``."""
+    """A declaration in force; ``value`` is an instance of a class in ``KINDS``.
+
+    ``era`` is the newest era of the store in which its record was read.
+    """
 
     record: Record
     value: Any
     offset: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +69,7 @@
     are the newest changes, so that tables built from the entries can be updated
     without a scan of all entries. ``settled`` maps recent publish ids to their
     offset, ``conflicts`` to their ``Conflict``. ``skipped`` counts invalid
-    records.
+    records. ``era`` is the era of the store that the offsets belong to.
     """
 
     offset: int = 0
@@ -70,6 +79,7 @@
     settled: immutables.Map = immutables.Map()
     conflicts: immutables.Map = immutables.Map()
     skipped: int = 0
+    era: int = 0
 
 
 def apply_record(declarations, offset, text):
@@ -81,14 +91,14 @@
         return declarations
     advanced = replace(declarations, offset=offset + 1)
     try:
-        entry = _read_entry(text, offset)
+        entry = _read_entry(text, offset, declarations.era)
     except RecordError:
         return replace(advanced, skipped=advanced.skipped + 1)
     key = f"{entry.record.kind}/{entry.record.name}"
     return _apply_entry(advanced, key, advanced.entries.get(key), entry)
 
 
-def read_newest_records(records, end_offset):
+def read_newest_records(records, end_offset, era=0):
     """Return the declarations from the newest record of each name.
 
     ``records`` are pairs of offset and text; ``end_offset`` is the next offset
@@ -97,17 +107,61 @@
     entries, skipped = {}, 0
     for offset, text in records:
         try:
-            entry = _read_entry(text, offset)
+            entry = _read_entry(text, offset, era)
         except RecordError:
             skipped += 1
             continue
         entries[f"{entry.record.kind}/{entry.record.name}"] = entry
-    return replace(build_declarations(end_offset, entries), skipped=skipped)
+    declarations = build_declarations(end_offset, entries)
+    return replace(declarations, skipped=skipped, era=era)
+
+
+def begin_era(declarations, newest):
+    """Return the declarations after the store was restored from an older copy.
+
+    ``newest`` are those read from the whole topic of the newer era. A held entry stays
+    in force if the topic lacks it, or has an older revision of it.
+    """
+    entries = dict(newest.entries)
+    conflicts = declarations.conflicts
+    for key, held in declarations.entries.items():
+        found = entries.get(key)
+        if found is None or found.record.revision < held.record.revision:
+            entries[key] = held
+        elif found.record.publish_id == held.record.publish_id:
+            entries[key] = replace(held, offset=found.offset, era=found.era)
+        else:
+            conflicts = _add_replacement(conflicts, held, found)
+    lost = {e.record.publish_id for e in entries.values() if e.era < newest.era}
+    settled = {**declarations.settled, **newest.settled}
+    settled = {key: offset for key, offset in settled.items() if key not in lost}
+    return replace(
+        build_declarations(newest.offset, entries),
+        settled=immutables.Map(settled),
+        conflicts=conflicts,
+        skipped=declarations.skipped + newest.skipped,
+        era=newest.era,
+    )
+
+
+def find_lost(declarations):
+    """Return the keys of entries in force that the store has lost, in order."""
+    era = declarations.era
+    return sorted(k for k, entry in declarations.entries.items() if entry.era < era)
 
 
-def _read_entry(text, offset):
+def _add_replacement(conflicts, held, found):
+    """Return the conflicts with a lost entry that another record has replaced."""
+    if found.record.based_on >= held.record.revision:
+        return conflicts
+    publish_id = held.record.publish_id
+    reason = "the store was restored without it, and another revision replaced it"
+    return conflicts.set(publish_id, Conflict(publish_id, found.offset, reason))
+
+
+def _read_entry(text, offset, era):
     record = decode_record(text)
-    return DeclarationEntry(record, _parse_value(record), offset)
+    return DeclarationEntry(record, _parse_value(record), offset, era)
 
 
 def list_declarations(declarations, kind):
@@ -148,19 +202,47 @@
 
 def _apply_entry(declarations, key, current_entry, entry):
     record = entry.record
+    if declarations.era and current_entry is not None:
+        if record.publish_id == current_entry.record.publish_id:
+            confirmed = replace(current_entry, offset=entry.offset, era=entry.era)
+            return _set_entry(declarations, key, confirmed)
+        if current_entry.era < declarations.era:
+            return _apply_instead_of_lost(declarations, key, current_entry, entry)
     if record.publish_id in declarations.settled:
-        return declarations
+        return _mark_lost(declarations, key, current_entry)
     revision = current_entry.record.revision if current_entry else 0
-    if record.based_on != revision:
+    follows_lost = declarations.era and record.based_on > revision
+    if record.based_on != revision and not follows_lost:
         reason = f"{key} is at revision {revision}, not {record.based_on}"
         conflict = Conflict(record.publish_id, entry.offset, reason)
         conflicts = declarations.conflicts.set(record.publish_id, conflict)
-        return replace(
+        declarations = replace(
             declarations, conflicts=_drop_oldest(conflicts, lambda item: item.offset)
         )
+        return _mark_lost(declarations, key, current_entry)
     return _set_entry(declarations, key, entry)
 
 
+def _mark_lost(declarations, key, current_entry):
+    """Return the declarations after a losing record replaced an entry in the topic.
+
+    Appends name the offset that they follow, so this happens only to one that was on
+    its way while the store was restored.
+    """
+    if not declarations.era or current_entry is None:
+        return declarations
+    lost = replace(current_entry, era=declarations.era - 1)
+    return _set_entry(declarations, key, lost)
+
+
+def _apply_instead_of_lost(declarations, key, held, entry):
+    """Return the declarations after a record of a key whose entry the store lost."""
+    if entry.record.revision < held.record.revision:
+        return declarations
+    conflicts = _add_replacement(declarations.conflicts, held, entry)
+    return _set_entry(replace(declarations, conflicts=conflicts), key, entry)
+
+
 def _set_entry(declarations, key, entry):
     settled = declarations.settled.set(entry.record.publish_id, entry.offset)
     kind = entry.record.kind
--- a/comfreyusher/directory/_task.py
+++ b/comfreyusher/directory/_task.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import random
 from typing import Annotated
 
 import msgspec
@@ -14,16 +15,20 @@
     Append,
     Appended,
     AppendFailed,
+    EraChanged,
     NewestRead,
     ReadFailed,
     ReadNewest,
     Topic,
 )
+from comfreyusher.telemetry import RecordsRepublished
 
 CHANNEL = "directory"
 PART = "directory"
 TICK_PERIOD_S = 2.0
 MAX_SEEDS = 12
+# Limit on the appends of all nodes of the fleet together after a restore.
+MAX_FLEET_APPENDS_PER_S = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +40,11 @@
 
 
 class DirectoryTask(Task):
-    """Registers the node once, and looks for others while it knows no other."""
+    """Registers the node once, and looks for others while it knows no other.
+
+    It registers again, at ``register_due_s`` or later, once the store was restored
+    from an older copy. ``store_era`` is the newest era of the store.
+    """
 
     def __init__(self, own, **kwargs):
         super().__init__(CHANNEL, **kwargs)
@@ -43,7 +52,12 @@
         self.registered = False
         self.waiting = False
         self.alone = True
+        self.member_count = 1
+        self.store_era = 0
+        self.register_due_s = 0.0
+        self.random = random.Random(own.node)
         self.message_handlers = {
+            EraChanged: self.handle_era_changed,
             Appended: self.handle_appended,
             AppendFailed: self.handle_append_failed,
             NewestRead: self.handle_newest_read,
@@ -56,11 +70,21 @@
         """Subscribe to the ticks."""
         self.send_message("timers", Subscribe(CHANNEL, "tick", TICK_PERIOD_S))
 
-    def handle_tick(self, _):
+    def handle_era_changed(self, changed):
+        """Register again once the store was restored from an older copy."""
+        self.store_era = max(self.store_era, changed.era)
+        if changed.restored and self.registered:
+            self.registered = False
+            spread_s = self.member_count / MAX_FLEET_APPENDS_PER_S
+            self.register_due_s = self.clock() + self.random.random() * spread_s
+            republished = RecordsRepublished(Topic.NODES.value, 1)
+            self.send_message("telemetry", republished)
+
+    def handle_tick(self, tick):
         """Register, or look for other nodes, unless a call to the store is pending."""
         if self.waiting:
             return
-        if not self.registered:
+        if not self.registered and tick.now_s >= self.register_due_s:
             self.waiting = True
             value = msgspec.json.encode(
                 GossipAddress(self.own.host, self.own.gossip_port)
@@ -74,11 +98,12 @@
     def handle_members_changed(self, changed):
         """Record whether any other node is known."""
         self.alone = len(changed.members) <= 1
+        self.member_count = len(changed.members)
 
-    def handle_appended(self, _):
-        """Mark the node as registered; the store keeps its record for ever."""
+    def handle_appended(self, appended):
+        """Mark the node as registered in this era of the store."""
         self.waiting = False
-        self.registered = True
+        self.registered = appended.era >= self.store_era
 
     def handle_append_failed(self, failure):
         """Log the failure; a later tick tries again."""
--- a/comfreyusher/operators/_api.py
+++ b/comfreyusher/operators/_api.py
@@ -229,9 +229,9 @@
     for member in view.node_status.members:
         data_centre = member.data_centre
         total[data_centre] = total.get(data_centre, 0) + 1
-        offset = view.publications.confirmed_offsets.get(member.node, 0)
+        confirmed_offset = view.publications.confirmed_offsets.get(member.node, (0, 0))
         settled = publication.state is PublicationState.SETTLED
-        if settled and offset > publication.offset:
+        if settled and confirmed_offset > (publication.era, publication.offset):
             confirmed[data_centre] = confirmed.get(data_centre, 0) + 1
     return tuple(
         InForceReport(data_centre, confirmed.get(data_centre, 0), count)
--- a/comfreyusher/platform/_calls.py
+++ b/comfreyusher/platform/_calls.py
@@ -114,7 +114,8 @@
     """Append a record; the result goes to ``channel`` with the same token.
 
     The record is appended only if ``expected_end_offset`` is the next offset of the
-    topic, or is ``ANY_END_OFFSET``.
+    topic, or is ``ANY_END_OFFSET``. ``era`` is that of the offset; the append fails in
+    any other one, unless it is 0.
     """
 
     channel: str
@@ -123,6 +124,7 @@
     key: str
     value: bytes
     expected_end_offset: int = ANY_END_OFFSET
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/platform/_era.py
+++ b/comfreyusher/platform/_era.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from comfreyusher.platform._calls import EraChanged, ReadRecords
+from comfreyusher.platform._calls import Append, EraChanged, ReadRecords
 
 ERA_CHANNELS = (
     "feeds",
@@ -41,9 +41,11 @@
 def is_outdated(request, response_era, newest_era):
     """Tell whether a response must not be used because of the store's eras.
 
-    It is of an older era than another response, or continues at an offset of another
-    era.
+    It is of an older era than another response, or its request names an offset of
+    another era.
     """
     if response_era < newest_era:
         return True
-    return isinstance(request, ReadRecords) and request.era not in (0, response_era)
+    if not isinstance(request, (Append, ReadRecords)):
+        return False
+    return request.era not in (0, response_era)
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -127,7 +127,7 @@
 
     def _call(self, call):
         if is_outdated(call.request, self.store_era.era, self.store_era.era):
-            self._fail_outdated(call.request, self.store_era.era)
+            self._send_failure(call.request, RESTORED, True, self.store_era.era)
             return
         if not self._take_token():
             self._fail(call.request, "over the budget of calls", definite=True)
--- a/comfreyusher/quarantine/_task.py
+++ b/comfreyusher/quarantine/_task.py
@@ -12,7 +12,7 @@
     QuarantineNotice,
     ToNode,
 )
-from comfreyusher.platform import Append, Appended, AppendFailed, Topic
+from comfreyusher.platform import Append, Appended, AppendFailed, EraChanged, Topic
 from comfreyusher.quarantine._messages import (
     CrashObserved,
     QuarantineBegun,
@@ -28,9 +28,11 @@
     QuarantineState,
     acquit,
     choose_crash_holders,
+    expire,
     quarantine,
     record_crash,
 )
+from comfreyusher.telemetry import RecordsRepublished
 
 CHANNEL = "quarantine"
 PART = "quarantine"
@@ -41,7 +43,9 @@
     """Holds the suspects that this node counts for, and all quarantines.
 
     ``resends`` are the datagrams to send once more, since some get lost. ``unsaved``
-    are quarantines that this node still has to append to the store.
+    are quarantines that this node still has to append to the store. ``stored`` are
+    those that the store has in its newest era, ``store_era``; once it was ``restored``,
+    the holders of the others append them again.
     """
 
     def __init__(self, own, wall_clock=time.time, **kwargs):
@@ -53,8 +57,12 @@
         self.resends = []
         self.unsaved = set()
         self.appending = set()
+        self.stored = set()
+        self.store_era = 0
+        self.restored = False
         self.ticking = False
         self.message_handlers = {
+            EraChanged: self.handle_era_changed,
             CrashObserved: self.handle_crash_observed,
             SuspectAcquitted: self.handle_suspect_acquitted,
             QuarantineBegun: self.handle_quarantine_begun,
@@ -142,9 +150,12 @@
 
     def handle_quarantines_read(self, read):
         """Use the quarantines that the store keeps."""
+        if read.era < self.store_era:
+            return
         for record in read.records:
             if not record.value:
                 continue
+            self.stored.add(record.key)
             try:
                 until_ms = decode_quarantine(record.value).until_ms
             except QuarantineRecordError as error:
@@ -164,6 +175,7 @@
     def handle_members_changed(self, changed):
         """Hand on what this node counts to new holders, and tell new nodes the rest."""
         before, self.members = self.members, changed.members
+        self._save_lost()
         for fingerprint, suspect in self.state.suspects.items():
             new_holders = self._holders(fingerprint) - _find_holders(
                 before, fingerprint
@@ -187,6 +199,35 @@
 
     # Store -----------------------------------------------------------------------
 
+    def handle_era_changed(self, changed):
+        """Begin to append again what a restored store may have lost."""
+        if changed.era <= self.store_era:
+            return
+        self.store_era = changed.era
+        self.stored.clear()
+        self.restored = self.restored or changed.restored
+        self._save_lost()
+
+    def _save_lost(self):
+        """Append the quarantines that this node holds and the store may lack.
+
+        Another holder takes over from one that dies before it has appended them.
+        """
+        if not self.restored:
+            return
+        self.state = expire(self.state, self.clock())
+        known = set(self.state.quarantined) - self.stored - self.unsaved
+        lost = {key for key in known if self.own.node in self._holders(key)}
+        if not lost:
+            return
+        log_info(PART, "published again", count=len(lost))
+        self.send_message(
+            "telemetry", RecordsRepublished(Topic.QUARANTINES.value, len(lost))
+        )
+        self.unsaved |= lost
+        self._save()
+        self._start_ticking()
+
     def _save(self):
         """Append the quarantines that are not in the store yet."""
         now, wall_ms = self.clock(), int(self.wall_clock() * 1000)
@@ -199,9 +240,13 @@
             self.send_message("platform", append)
 
     def handle_appended(self, appended):
-        """Mark a quarantine as saved."""
+        """Mark a quarantine as saved, if it was in the newest era of the store."""
         self.appending.discard(appended.token)
-        self.unsaved.discard(appended.token)
+        if appended.era >= self.store_era:
+            self.stored.add(appended.token)
+            self.unsaved.discard(appended.token)
+        elif appended.token in self.unsaved:
+            self._start_ticking()
 
     def handle_append_failed(self, failure):
         """Append again at a later tick; a record that is there already is the same."""
--- a/comfreyusher/queries/_task.py
+++ b/comfreyusher/queries/_task.py
@@ -4,6 +4,7 @@
 
 from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe
 from comfreyusher.platform import (
+    EraChanged,
     NewestRead,
     ReadFailed,
     ReadNewest,
@@ -52,17 +53,22 @@
     """State of the query that runs now.
 
     ``position`` is where the next read starts: the key to read on after for
-    newest records, else an offset.
+    newest records, else an offset. Both belong to an ``era`` of the store.
     """
 
     def __init__(self, start):
         self.start = start
         self.query = new_query(start.kind, start.subject, start.live_origins)
+        self.failures = 0
+        self.reading = False
+        self.begin_era(0)
+
+    def begin_era(self, era):
+        """Forget what was read: a restored store may have other records there."""
+        self.era = era
         self.state = self.query.initial_state
         self.position = "" if self.query.newest_only else 0
         self.records_read = 0
-        self.failures = 0
-        self.reading = False
 
 
 class QueryTask(Task):
@@ -72,7 +78,9 @@
         super().__init__(CHANNEL, **kwargs)
         self.waiting = []
         self.active = None
+        self.store_era = 0
         self.message_handlers = {
+            EraChanged: self.handle_era_changed,
             StartQuery: self.handle_start_query,
             NewestRead: self.handle_newest_read,
             RecordsRead: self.handle_records_read,
@@ -88,6 +96,7 @@
     def _start_next(self):
         if self.active is None and self.waiting:
             self.active = RunningQuery(self.waiting.pop(0))
+            self.active.begin_era(self.store_era)
             self.send_message("timers", Subscribe(CHANNEL, "retry", RETRY_PERIOD_S))
             self._read()
 
@@ -100,11 +109,31 @@
         if running.query.newest_only:
             read = ReadNewest(CHANNEL, topic, False, running.position)
         else:
-            read = ReadRecords(CHANNEL, topic, running.position)
+            read = ReadRecords(CHANNEL, topic, running.position, era=running.era)
         self.send_message("platform", read)
 
+    def handle_era_changed(self, changed):
+        """Start the active query anew once the store has a newer era."""
+        if changed.era > self.store_era:
+            self.store_era = changed.era
+            if self.active is not None:
+                self.active.begin_era(changed.era)
+
+    def _is_from_query(self, read):
+        """Return whether a page is of the query's era; else read the first page."""
+        running = self.active
+        if read.era == running.era:
+            return True
+        self.handle_era_changed(EraChanged(read.era))
+        running.reading = False
+        running.begin_era(self.store_era)
+        self._read()
+        return False
+
     def handle_newest_read(self, read):
         """Fold a page of newest records, and read the next page or finish."""
+        if not self._is_from_query(read):
+            return
         self._fold_records(read.records)
         if not read.after_key:
             self._finish_query()
@@ -114,6 +143,8 @@
 
     def handle_records_read(self, read):
         """Fold a page of all records, and read the next page or finish."""
+        if not self._is_from_query(read):
+            return
         self._fold_records(read.records)
         if read.next_offset >= read.end_offset:
             self._finish_query()
@@ -142,6 +173,9 @@
         """
         running = self.active
         running.reading = False
+        if failure.era > running.era:
+            self._is_from_query(failure)
+            return
         if failure.expired:
             running.position = failure.first_offset
             self._read()
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -54,6 +54,14 @@
     names: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsRepublished:
+    """Records were written again that a restored store may have lost."""
+
+    topic: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -80,6 +80,14 @@
             "1",
             "Headers of responses whose value was ignored, by upstream and name.",
         )
+        self.store_era = meter.create_gauge(
+            "comfreyusher.store_era", "1", "Newest era of the store."
+        )
+        self.republished = meter.create_counter(
+            "comfreyusher.republished_records",
+            "1",
+            "Records written again after the store was restored, by topic.",
+        )
 
     def record_request(self, request):
         """Count a request and record its duration."""
@@ -135,6 +143,15 @@
             }
             self.unreadable.add(1, attributes)
 
+    def record_era(self, changed):
+        """Record the newest era of the store."""
+        self.store_era.set(changed.era)
+
+    def count_republished(self, republished):
+        """Count records that were written again after the store was restored."""
+        attributes = {"comfreyusher.topic": republished.topic}
+        self.republished.add(republished.count, attributes)
+
     def export_span(self, span):
         """Export a span if an OTLP endpoint is configured."""
         if self.span_processor is not None:
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -5,10 +5,12 @@
 import time
 
 from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.platform import EraChanged
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
     GrantDenied,
     HeadersUnreadable,
+    RecordsRepublished,
     RequestMeasured,
     SpanEnded,
     UpstreamEjected,
@@ -55,6 +57,8 @@
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
+            RecordsRepublished: self.handle_measurement,
+            EraChanged: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -87,6 +91,8 @@
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
+            RecordsRepublished: self.meters.count_republished,
+            EraChanged: self.meters.record_era,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
