--- a/comfreyusher/accounts/_replicas.py
+++ b/comfreyusher/accounts/_replicas.py
@@ -67,6 +67,26 @@
     return end_pipe(replicas, None, Envelope("peers", ToNode(request.origin, ack)))
 
 
+def build_logged_record(before, after, origin):
+    """Return the key and the text of a record of the replicas that were just dropped.
+
+    ``before`` and ``after`` are the replicas before and after the origin told that
+    these are in the log. Both are empty if there are none.
+    """
+    known = before.origins.get(origin, OriginReplicas())
+    current = after.origins.get(origin, OriginReplicas())
+    if current.last_logged <= known.last_logged:
+        return "", ""
+    numbers = range(known.last_logged + 1, current.last_logged + 1)
+    logged = [known.entries[number] for number in numbers if number in known.entries]
+    if not logged:
+        return "", ""
+    text = encode_account_record(
+        origin, after.node, [_complete_outcome(entry) for entry in logged]
+    )
+    return f"{origin}/{current.last_logged} kept by {after.node}", text
+
+
 def append_missing_origins(replicas, live_nodes, now):
     """Append the entries of origins that have been missing for the timeout."""
     messages = ()
@@ -97,7 +117,8 @@
     text = encode_account_record(origin, replicas.node, entries)
     origin_replicas = replace(origin_replicas, appending=True)
     key = f"{origin}/adopted by {replicas.node}"
-    append = Append(CHANNEL, ReplicaToken(origin), Topic.ACCOUNTS, key, text.encode())
+    token = ReplicaToken(origin, key, text)
+    append = Append(CHANNEL, token, Topic.ACCOUNTS, key, text.encode())
     return end_pipe(
         _set_origin(replicas, origin, origin_replicas),
         None,
@@ -107,9 +128,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaToken:
-    """Token of an append of a missing origin's entries."""
+    """Token of an append of a missing origin's entries: the record with this text."""
 
     origin: str
+    key: str = ""
+    text: str = ""
 
 
 def drop_appended_origin(replicas, token):
--- a/comfreyusher/accounts/_task.py
+++ b/comfreyusher/accounts/_task.py
@@ -4,11 +4,12 @@
 
 from absl import logging
 
-from comfreyusher.accounts import _ledger, _replicas
+from comfreyusher.accounts import _kept, _ledger, _replicas
 from comfreyusher.accounts._messages import FlushAccounts, RequestAccepted, RequestEnded
 from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe
 from comfreyusher.messages import PeerDisconnected, ReplicationAck, ReplicationRequest
-from comfreyusher.platform import Appended, AppendFailed
+from comfreyusher.platform import Appended, AppendFailed, EraChanged, Topic
+from comfreyusher.telemetry import RecordsRepublished
 
 CHANNEL = "accounts"
 LOG_PREFIX = "accounts:"
@@ -32,17 +33,23 @@
 
 
 class AccountTask(Task):
-    """Applies decisions on entries and replicas, and sends their messages."""
+    """Applies decisions on entries and replicas, and sends their messages.
+
+    ``store_era`` is the newest era of the store, ``kept`` what it may lose.
+    """
 
     def __init__(self, node, **kwargs):
         super().__init__(CHANNEL, **kwargs)
         self.ledger = _ledger.new_ledger(node)
         self.replicas = _replicas.Replicas(node)
         self.live_nodes = frozenset((node,))
+        self.kept = _kept.KeptRecords()
+        self.store_era = 0
         self.closing = False
         self.checking_replication = False
         self.flush_period_s = FLUSH_PERIOD_S
         self.message_handlers = {
+            EraChanged: self.handle_era_changed,
             RequestAccepted: self.handle_request_accepted,
             RequestEnded: self.handle_request_ended,
             ReplicationRequest: self.handle_replication_request,
@@ -82,7 +89,13 @@
 
     def handle_replication_request(self, request):
         """Store replicas of another node's entries."""
+        before = self.replicas
         self._apply_replicas_step(_replicas.store_replicas(self.replicas, request))
+        if self.store_era:
+            key, text = _replicas.build_logged_record(
+                before, self.replicas, request.origin
+            )
+            self._keep(key, text, request.origin)
 
     def handle_replication_ack(self, ack):
         """Release the responses of an acknowledged replication batch."""
@@ -117,6 +130,7 @@
         """Append all ended entries and close this origin."""
         self.closing = True
         self._apply_ledger_step(_ledger.close(self.ledger))
+        self._rewrite_next()
         self._report_if_flushed()
 
     # Log -----------------------------------------------------------------------
@@ -124,7 +138,12 @@
     def handle_appended(self, appended):
         """Drop what is in the log now, replicas or a batch as the token tells."""
         token = appended.token
-        if isinstance(token, _replicas.ReplicaToken):
+        if appended.era < self.store_era:
+            self.handle_append_failed(AppendFailed(token, "lost by the store"))
+            return
+        if isinstance(token, _kept.KeptRecord):
+            self._end_rewrite(token)
+        elif isinstance(token, _replicas.ReplicaToken):
             logging.info(
                 "%s entries of a missing node appended origin=%s",
                 LOG_PREFIX,
@@ -133,14 +152,19 @@
             self._apply_replicas_step(
                 _replicas.drop_appended_origin(self.replicas, token)
             )
+            self._keep(token.key, token.text)
         else:
+            batch = self.ledger.batches[0]
+            self._keep(batch.key, batch.text)
             self._apply_ledger_step(_ledger.drop_appended_batch(self.ledger))
             self._report_if_flushed()
 
     def handle_append_failed(self, failure):
         """Keep what could not be appended, for a later attempt."""
         token = failure.token
-        if isinstance(token, _replicas.ReplicaToken):
+        if isinstance(token, _kept.KeptRecord):
+            self.kept = _kept.end_rewrite(self.kept, token, False, self.clock())
+        elif isinstance(token, _replicas.ReplicaToken):
             self._apply_replicas_step(
                 _replicas.record_append_failure(self.replicas, token)
             )
@@ -149,9 +173,45 @@
 
     def _report_if_flushed(self):
         if self.closing and not _ledger.count_pending_entries(self.ledger):
-            if not self.ledger.batches:
+            if not self.ledger.batches and not _kept.has_own_lost(self.kept):
                 self.send_message("node", AccountsFlushed())
 
+    # Eras ----------------------------------------------------------------------
+
+    def handle_era_changed(self, changed):
+        """Append again, one record a flush, what the restored store may have lost."""
+        if changed.era <= self.store_era:
+            return
+        self.store_era = changed.era
+        self.kept = _kept.lose_records(self.kept, self.clock())
+        if self.kept.lost:
+            count = len(self.kept.lost)
+            logging.warning(
+                "%s records may be lost era=%s count=%s",
+                LOG_PREFIX,
+                changed.era,
+                count,
+            )
+
+    def _keep(self, key, text, origin=""):
+        """Keep a record for a while that the log has now."""
+        if self.store_era and key:
+            record = _kept.KeptRecord(key, text, self.clock(), origin)
+            self.kept = _kept.keep_record(self.kept, record)
+
+    def _rewrite_next(self):
+        step = _kept.rewrite_next(self.kept, self.live_nodes)
+        self.kept = step.state
+        self.send_messages(step.messages)
+
+    def _end_rewrite(self, record):
+        self.kept = _kept.end_rewrite(self.kept, record, True, self.clock())
+        logging.info("%s published again key=%s", LOG_PREFIX, record.key)
+        self.send_message("telemetry", RecordsRepublished(Topic.ACCOUNTS.value, 1))
+        if self.closing:
+            self._rewrite_next()
+            self._report_if_flushed()
+
     # Time ------------------------------------------------------------------------
 
     def handle_tick(self, tick):
@@ -162,6 +222,8 @@
             )
             self._update_replication_ticks()
         else:
+            self.kept = _kept.expire_records(self.kept, tick.now_s)
+            self._rewrite_next()
             self._apply_ledger_step(_ledger.flush(self.ledger))
             self._apply_replicas_step(
                 _replicas.append_missing_origins(
