--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -48,12 +48,32 @@
     due_s: float
 
 
+class Listing(enum.Enum):
+    """What the restored store lists for an upstream that was leaving before."""
+
+    UNKNOWN = "unknown"
+    READY = "ready"
+    LEAVING = "leaving"
+    REMOVED = "removed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftUpstream:
+    """An upstream that was leaving when the store was restored.
+
+    ``started_ms`` is the Unix time of its start.
+    """
+
+    started_ms: int
+    listing: Listing = Listing.UNKNOWN
+
+
 @dataclasses.dataclass(frozen=True)
 class UpstreamRegistry:
     """The upstreams by name, and removals that are yet to take effect.
 
-    ``left`` maps upstreams that were leaving when the store was restored to the Unix
-    time of their start. The store may list them as ready again.
+    ``left`` maps the names of upstreams that were leaving when the store was restored
+    to ``LeftUpstream``. The store may list them as ready again.
     """
 
     upstreams: immutables.Map = immutables.Map()
@@ -199,8 +219,12 @@
     """Apply entries; ``removal_due_s_of`` returns when a removal takes effect."""
     changed, delta = [], []
     for entry in entries:
-        entry = _keep_leaving(registry, entry)
+        left = registry.left
+        registry, entry = _keep_leaving(registry, entry)
+        is_listed_anew = registry.left is not left
         registry, effect = _apply_entry(registry, entry, removal_due_s_of(entry))
+        if is_listed_anew and effect is Effect.NONE:
+            effect = Effect.DEFERRED  # nodes that did not know of it need the entry
         if effect is Effect.IMMEDIATE:
             changed.append(entry)
         if effect is not Effect.NONE:
@@ -238,15 +262,27 @@
         for name, entry in registry.upstreams.items()
         if entry.leaving
     }
-    return replace(registry, left=immutables.Map({**retired, **leaving}))
+    left = {name: LeftUpstream(ms) for name, ms in {**retired, **leaving}.items()}
+    return replace(registry, left=immutables.Map(left))
 
 
 def _keep_leaving(registry, entry):
-    """Return an entry that an older copy of the store may show as ready."""
-    started_ms = registry.left.get(entry.name)
-    if started_ms is None or entry.removed or entry.started_ms > started_ms:
-        return entry
-    return replace(entry, leaving=True)
+    """Return the registry and an entry that an older copy may show as ready.
+
+    The registry remembers how the store lists the upstream by now. One that has
+    started again since is not leaving any more.
+    """
+    left = registry.left.get(entry.name)
+    if left is None:
+        return registry, entry
+    if not entry.removed and entry.started_ms > left.started_ms:
+        return replace(registry, left=registry.left.delete(entry.name)), entry
+    listing = Listing.LEAVING if entry.leaving else Listing.READY
+    listing = Listing.REMOVED if entry.removed else listing
+    if listing is not left.listing:
+        left = replace(left, listing=listing)
+        registry = replace(registry, left=registry.left.set(entry.name, left))
+    return registry, entry if entry.removed else replace(entry, leaving=True)
 
 
 def _register_entry(registry, entry):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -165,6 +165,13 @@
         response = requests.post(f"{self.platform.url}/entries", json=entry, timeout=10)
         response.raise_for_status()
 
+    def restore_platform(self, age_s):
+        """Restore the store from a copy that is some seconds old."""
+        self.platform.control(names_era=True)
+        copy = {"age_ms": int(age_s * 1000)}
+        response = requests.post(f"{self.platform.url}/restore", json=copy, timeout=10)
+        response.raise_for_status()
+
     def start_node_behind_link(self, name, location, overrides=None):
         """Start a node that other nodes reach through a link.
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -22,6 +22,7 @@
     "store_forgets",
 )
 ALL_FAULT_KINDS = (*FAULT_KINDS, "slow", "most_refused")
+ERA_KINDS = (*FAULT_KINDS, *("store_restored",) * 5)
 STORE_KINDS = frozenset(("store_silent", "store_refuses", "store_old"))
 
 
@@ -71,6 +72,12 @@
         """Return the offset after the records that were appended by a time."""
         return bisect.bisect_right(self.times, at_s)
 
+    def restore(self, copied_s):
+        """Lose the records that were appended after a copy was made."""
+        end = self.end_at(copied_s)
+        del self.records[end:], self.times[end:]
+        self.first_offset = min(self.first_offset, end)
+
     def find_newest(self, end):
         """Return the newest record of each key before an offset."""
         found = {}
