--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -252,7 +252,8 @@
         """Back off; if the offset has expired, read the newest records at once."""
         state = self.topics[failure.topic]
         self._is_current(max(failure.era, self.era))
-        if state.call_era != self.era:
+        is_older = failure.expired and failure.era < self.era
+        if state.call_era != self.era or is_older:
             self._repeat_call(failure.topic)
             return
         state.call_pending = False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -275,8 +275,8 @@
                     decode_records(body[:size], 7)
 
 
-class StoreTests(unittest.TestCase):
-    """Calls of the store task, and the results that it sends."""
+class StoreCase(unittest.TestCase):
+    """A store task, and the messages that it sends."""
 
     def setUp(self):
         self.now = 50.0
@@ -297,6 +297,10 @@
         )
         return [body for channel, body in self.sent if channel == "user"]
 
+
+class StoreTests(StoreCase):
+    """Calls of the store task, and the results that it sends."""
+
     # Guards against a response of the store that uses up the memory.
     def test_a_response_over_the_size_limit_fails_the_call(self):
         exchange = self.start_call(ReadNewest("user", Topic.UPSTREAMS))
