--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -317,7 +317,7 @@
         rank = self._rank_of(message.node)
         for watermark in message.topics:
             topic = TOPIC_BY_NAME.get(watermark.topic)
-            if topic is None or watermark.era != self.era:
+            if topic is None:
                 continue  # a node of a later version knows more topics
             self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
             if topic is Topic.UPSTREAMS:
