--- a/comfreyusher/feeds/_outage.py
+++ b/comfreyusher/feeds/_outage.py
@@ -44,4 +44,4 @@
         their owners write them again. A node that started since does not know them.
         """
         due_s = RETURN_GRACE_S + self.restored_s
-        return due_s if due_s > now else AT_ONCE_S
+        return AT_ONCE_S if due_s <= now else due_s
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -38,6 +38,8 @@
 OVERLOAD = "tests.test_pattern_crest"
 REGION = "tests.test_pattern_region_failing"
 STATEMENTS = "tests.test_upstream_statements"
+ERA = "tests.test_store_era"
+ERA_FEEDS = "tests.test_store_era_feeds"
 MUTATIONS = (
     Mutation(
         "a departure is forgotten when the store says ready",
@@ -466,6 +468,62 @@
         "    if False:",
         "tests.test_entry_shutdown",
     ),
+    Mutation(
+        "a read goes on at a reused offset",
+        "restored store",
+        "comfreyusher/feeds/_task.py",
+        "        if not self._is_current(read.era) or state.call_era != self.era:",
+        "        if not self._is_current(read.era):",
+        ERA_FEEDS,
+    ),
+    Mutation(
+        "an upstream that was leaving is used again",
+        "restored store",
+        "comfreyusher/feeds/_state.py",
+        "    return registry, entry if entry.removed else replace(entry, leaving=True)",
+        "    return registry, entry",
+        ERA_FEEDS,
+    ),
+    Mutation(
+        "upstreams that are not registered again yet are removed",
+        "restored store",
+        "comfreyusher/feeds/_outage.py",
+        "        return AT_ONCE_S if due_s <= now else due_s",
+        "        return AT_ONCE_S",
+        ERA_FEEDS,
+    ),
+    Mutation(
+        "a reader is not told of a newer configuration",
+        "restored store",
+        "comfreyusher/feeds/_received.py",
+        "        elif message.topics and message.configuration_version < own_version:",
+        "        elif False:",
+        ERA_FEEDS,
+    ),
+    Mutation(
+        "a lower revision replaces a lost one",
+        "restored store",
+        "comfreyusher/declarations/_fold.py",
+        "    if entry.record.revision < held.record.revision:",
+        "    if False:",
+        ERA,
+    ),
+    Mutation(
+        "a response of an older era is used",
+        "restored store",
+        "comfreyusher/platform/_task.py",
+        "        if is_outdated(request, pending.era, self.store_era.era):",
+        "        if False:",
+        ERA,
+    ),
+    Mutation(
+        "acknowledged entries are forgotten",
+        "restored store",
+        "comfreyusher/accounts/_kept.py",
+        "    return replace(kept, records=(), lost=lost)",
+        "    return replace(kept, records=(), lost=())",
+        ERA,
+    ),
 )
 
 
