--- a/comfreyusher/configuration/_task.py
+++ b/comfreyusher/configuration/_task.py
@@ -25,7 +25,6 @@
     Declarations,
     apply_record,
     encode_record,
-    find_lost,
     read_newest_records,
 )
 from comfreyusher.declarations import begin_era as merge_restored
@@ -138,7 +137,7 @@
 
     def _update_lost(self):
         """Plan to publish again what the store has lost."""
-        lost = find_lost(self.declarations) if self.declarations.era else ()
+        lost = sorted(self.declarations.lost)
         if lost and not self.republisher.due_s:
             log_warning(PART, "lost by the store", keys=lost[:10], count=len(lost))
         self.republisher.update(lost, self.live_nodes, self.clock())
--- a/comfreyusher/declarations/__init__.py
+++ b/comfreyusher/declarations/__init__.py
@@ -7,7 +7,6 @@
     apply_record,
     begin_era,
     build_declarations,
-    find_lost,
     list_declarations,
     read_newest_records,
 )
@@ -59,7 +58,6 @@
     "compact_record",
     "decode_record",
     "digest_key",
-    "find_lost",
     "encode_record",
     "list_declarations",
     "new_record",
--- a/comfreyusher/declarations/_fold.py
+++ b/comfreyusher/declarations/_fold.py
@@ -69,7 +69,8 @@
     are the newest changes, so that tables built from the entries can be updated
     without a scan of all entries. ``settled`` maps recent publish ids to their
     offset, ``conflicts`` to their ``Conflict``. ``skipped`` counts invalid
-    records. ``era`` is the era of the store that the offsets belong to.
+    records. ``era`` is the era of the store that the offsets belong to, and ``lost``
+    are the keys of entries that it has not shown in that era.
     """
 
     offset: int = 0
@@ -80,6 +81,7 @@
     conflicts: immutables.Map = immutables.Map()
     skipped: int = 0
     era: int = 0
+    lost: frozenset = frozenset()
 
 
 def apply_record(declarations, offset, text):
@@ -124,32 +126,29 @@
     """
     entries = dict(newest.entries)
     conflicts = declarations.conflicts
+    lost, lost_ids = set(), set()
     for key, held in declarations.entries.items():
         found = entries.get(key)
         if found is None or found.record.revision < held.record.revision:
             entries[key] = held
+            lost.add(key)
+            lost_ids.add(held.record.publish_id)
         elif found.record.publish_id == held.record.publish_id:
             entries[key] = replace(held, offset=found.offset, era=found.era)
         else:
             conflicts = _add_replacement(conflicts, held, found)
-    lost = {e.record.publish_id for e in entries.values() if e.era < newest.era}
     settled = {**declarations.settled, **newest.settled}
-    settled = {key: offset for key, offset in settled.items() if key not in lost}
+    settled = {key: offset for key, offset in settled.items() if key not in lost_ids}
     return replace(
         build_declarations(newest.offset, entries),
         settled=immutables.Map(settled),
         conflicts=conflicts,
         skipped=declarations.skipped + newest.skipped,
         era=newest.era,
+        lost=frozenset(lost),
     )
 
 
-def find_lost(declarations):
-    """Return the keys of entries in force that the store has lost, in order."""
-    era = declarations.era
-    return sorted(k for k, entry in declarations.entries.items() if entry.era < era)
-
-
 def _add_replacement(conflicts, held, found):
     """Return the conflicts with a lost entry that another record has replaced."""
     if found.record.based_on >= held.record.revision:
@@ -248,11 +247,17 @@
     kind = entry.record.kind
     kind_entries = declarations.by_kind.get(kind, immutables.Map()).set(key, entry)
     changes = (*declarations.changes, EntryChange(declarations.offset, key))
+    lost = declarations.lost
+    if entry.era < declarations.era:
+        lost = lost | {key}
+    elif key in lost:
+        lost = lost - {key}
     return replace(
         declarations,
         entries=declarations.entries.set(key, entry),
         by_kind=declarations.by_kind.set(kind, kind_entries),
         changes=changes[-KEPT_CHANGES:],
+        lost=lost,
         settled=_drop_oldest(settled, lambda offset: offset),
     )
 
