--- a/tests/scenarios/steps/fleet_steps.py
+++ b/tests/scenarios/steps/fleet_steps.py
@@ -628,6 +628,29 @@
     assert more >= count, more
 
 
+@when("a copy of the log is made")
+def copy_store(context):
+    context.fleet.platform.control(names_era=True)
+    context.shared["copied_s"] = time.monotonic()
+
+
+@when("the log is restored from the copy")
+def restore_store(context):
+    context.fleet.restore_platform(time.monotonic() - context.shared["copied_s"])
+
+
+@then("the log has the profile {name} again within {seconds:g} s")
+def check_profile_in_store(context, name, seconds):
+    topic = "keyed.comfreyusher.declarations"
+    url = f"{context.fleet.platform.url}/log-newest?topic={topic}&part=0"
+
+    def is_there():
+        items = requests.get(url, timeout=10).json()["items"]
+        return f"profile/{name}" in [item["key"] for item in items]
+
+    wait_for(is_there, f"the profile {name} in the store", seconds)
+
+
 # Configuration ---------------------------------------------------------------
 
 
