--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -66,6 +66,14 @@
     undecided: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsRepublished:
+    """Records were written again that a restored store may have lost."""
+
+    topic: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -85,6 +85,14 @@
             "1",
             "Requests rejected without a known key of a client account, by reason.",
         )
+        self.store_era = meter.create_gauge(
+            "comfreyusher.store_era", "1", "Newest era of the store."
+        )
+        self.republished = meter.create_counter(
+            "comfreyusher.republished_records",
+            "1",
+            "Records written again after the store was restored, by topic.",
+        )
 
     def record_request(self, request):
         """Count a request and record its duration."""
@@ -146,6 +154,15 @@
             if count:
                 self.key_refusals.add(count, {"comfreyusher.reason": reason})
 
+    def record_era(self, changed):
+        """Record the newest era of the store."""
+        self.store_era.set(changed.era)
+
+    def count_republished(self, republished):
+        """Count records that were written again after the store was restored."""
+        attributes = {"comfreyusher.topic": republished.topic}
+        self.republished.add(republished.count, attributes)
+
     def export_span(self, span):
         """Export a span if an OTLP endpoint is configured."""
         if self.span_processor is not None:
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -5,11 +5,13 @@
 import time
 
 from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.platform import EraChanged
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
     GrantDenied,
     HeadersUnreadable,
     KeysRefused,
+    RecordsRepublished,
     RequestMeasured,
     SpanEnded,
     UpstreamEjected,
@@ -57,6 +59,8 @@
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
             KeysRefused: self.handle_measurement,
+            RecordsRepublished: self.handle_measurement,
+            EraChanged: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -90,6 +94,8 @@
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
             KeysRefused: self.meters.count_key_refusals,
+            RecordsRepublished: self.meters.count_republished,
+            EraChanged: self.meters.record_era,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -300,7 +300,7 @@
     # Guards against nodes without the store that keep a removed key, or revert to it.
     def test_a_snapshot_of_another_node_removes_a_key_for_good(self):
         sent = []
-        view = FeedView(lambda channel, body: sent.append(body))
+        view = FeedView(lambda channel, body: sent.append(body), lambda: 100.0)
         versions = [
             encode(1, account()),
             encode(2, account(keys=())),
