--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -48,32 +48,13 @@
     due_s: float
 
 
-class Listing(enum.Enum):
-    """What the restored store lists for an upstream that was leaving before."""
-
-    UNKNOWN = "unknown"
-    READY = "ready"
-    LEAVING = "leaving"
-    REMOVED = "removed"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeftUpstream:
-    """An upstream that was leaving when the store was restored.
-
-    ``started_ms`` is the Unix time of its start.
-    """
-
-    started_ms: int
-    listing: Listing = Listing.UNKNOWN
-
-
 @dataclasses.dataclass(frozen=True)
 class UpstreamRegistry:
     """The upstreams by name, and removals that are yet to take effect.
 
-    ``left`` maps the names of upstreams that were leaving when the store was restored
-    to ``LeftUpstream``. The store may list them as ready again.
+    ``left`` maps upstreams that were leaving when the store was restored to the Unix
+    time of their start. The store may list them as ready, as its copy does, until it
+    lists them as leaving or not at all.
     """
 
     upstreams: immutables.Map = immutables.Map()
@@ -131,6 +112,7 @@
     Upstreams without a record are removed.
     """
     names = {record.key for record in records}
+    registry = _forget_unlisted(registry, names)
     partial = apply_upstream_records(registry, records, removal_due_s)
     missing = _missing_removals(partial.registry, names)
     whole = _apply_entries(partial.registry, missing, lambda entry: removal_due_s)
@@ -162,6 +144,7 @@
 def apply_snapshot(registry, entries, now, removal_due_s, earliest_s=AT_ONCE_S):
     """Apply all entries of another node; return the ``ApplyResult``."""
     names = {entry.name for entry in entries}
+    registry = _forget_unlisted(registry, names)
     missing = _missing_removals(registry, names)
     entries = (*entries, *missing)
     return apply_delta(registry, entries, now, removal_due_s, earliest_s)
@@ -221,10 +204,10 @@
     for entry in entries:
         left = registry.left
         registry, entry = _keep_leaving(registry, entry)
-        is_listed_anew = registry.left is not left
+        is_confirmed = registry.left is not left
         registry, effect = _apply_entry(registry, entry, removal_due_s_of(entry))
-        if is_listed_anew and effect is Effect.NONE:
-            effect = Effect.DEFERRED  # nodes that did not know of it need the entry
+        if is_confirmed and effect is Effect.NONE:
+            effect = Effect.DEFERRED  # nodes that believed the copy need the entry
         if effect is Effect.IMMEDIATE:
             changed.append(entry)
         if effect is not Effect.NONE:
@@ -262,27 +245,27 @@
         for name, entry in registry.upstreams.items()
         if entry.leaving
     }
-    left = {name: LeftUpstream(ms) for name, ms in {**retired, **leaving}.items()}
-    return replace(registry, left=immutables.Map(left))
+    return replace(registry, left=immutables.Map({**retired, **leaving}))
+
+
+def _forget_unlisted(registry, names):
+    """Return the registry without upstreams that left and that the store lacks."""
+    left = {name: ms for name, ms in registry.left.items() if name in names}
+    return replace(registry, left=immutables.Map(left)) if registry.left else registry
 
 
 def _keep_leaving(registry, entry):
     """Return the registry and an entry that an older copy may show as ready.
 
-    The registry remembers how the store lists the upstream by now. One that has
-    started again since is not leaving any more.
+    Once the store lists the upstream as leaving, as removed, or with a later start,
+    its entries count as they are again.
     """
-    left = registry.left.get(entry.name)
-    if left is None:
+    started_ms = registry.left.get(entry.name)
+    if started_ms is None:
         return registry, entry
-    if not entry.removed and entry.started_ms > left.started_ms:
+    if entry.removed or entry.leaving or entry.started_ms > started_ms:
         return replace(registry, left=registry.left.delete(entry.name)), entry
-    listing = Listing.LEAVING if entry.leaving else Listing.READY
-    listing = Listing.REMOVED if entry.removed else listing
-    if listing is not left.listing:
-        left = replace(left, listing=listing)
-        registry = replace(registry, left=registry.left.set(entry.name, left))
-    return registry, entry if entry.removed else replace(entry, leaving=True)
+    return registry, replace(entry, leaving=True)
 
 
 def _register_entry(registry, entry):
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -480,7 +480,7 @@
         "an upstream that was leaving is used again",
         "restored store",
         "comfreyusher/feeds/_state.py",
-        "    return registry, entry if entry.removed else replace(entry, leaving=True)",
+        "    return registry, replace(entry, leaving=True)",
         "    return registry, entry",
         ERA_FEEDS,
     ),
--- a/tests/test_store_era_feeds.py
+++ b/tests/test_store_era_feeds.py
@@ -10,6 +10,7 @@
 from comfreyusher.feeds import compress_record
 from comfreyusher.flow import replace
 from comfreyusher.messages import (
+    DepartureNotice,
     FeedWatermarks,
     RegisteredUpstream,
     SnapshotRequest,
@@ -144,6 +145,21 @@
                 self.read_newest(3, 46, entry("a", 40), entry("b", 45, born=10))
                 self.assertFalse(self.upstreams["b"].leaving)
 
+    # Guards against an upstream without a time of start that is never used again.
+    def test_an_upstream_that_the_new_era_listed_as_leaving_may_come_back(self):
+        for listed in ((entry("b", 41, "draining", born=9),), ()):
+            with self.subTest(listed=listed):
+                self.setUp()
+                self.read_newest(2, 45, entry("a", 40), *listed)
+                self.read_newest(2, 46, entry("a", 40), entry("b", 45, born=9))
+                self.assertFalse(self.upstreams["b"].leaving)
+
+    # Guards against nodes that start after the restore and know only the copy.
+    def test_the_departure_task_is_told_of_leaving_upstreams(self):
+        self.task.handle_era_changed(EraChanged(2))
+        notices = self.pop_messages(DepartureNotice)
+        self.assertEqual(notices, [DepartureNotice("b", 9)])
+
     # Guards against nodes that did not know that an upstream leaves, and never hear.
     def test_a_leaving_upstream_that_registers_again_is_sent_to_other_nodes(self):
         self.read_newest(2, 45, entry("a", 40), entry("b", 41, born=9))
