--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -8,6 +8,7 @@
 )
 from comfreyusher.entry._grant_requests import begin_attempt
 from comfreyusher.entry._responses import send_error
+from comfreyusher.entry._tokens import require_token
 from comfreyusher.flow import Envelope, continue_pipe, end_pipe, pipe, replace
 from comfreyusher.messages import Outcome, find_header
 from comfreyusher.platform import parse_caller_headers
@@ -130,5 +131,6 @@
     open_account,
     set_deadline,
     wait_for_body,
+    require_token,
     begin_attempt,
 )
--- a/comfreyusher/entry/_body.py
+++ b/comfreyusher/entry/_body.py
@@ -1,9 +1,10 @@
 """Decisions on the parts of a request body that follow its head."""
 
 from comfreyusher.entry._fingerprint import compute_fingerprint, is_complete
-from comfreyusher.entry._grant_requests import begin_attempt, live_attempts
+from comfreyusher.entry._grant_requests import live_attempts
 from comfreyusher.entry._responses import CALLERS
 from comfreyusher.entry._state import AttemptPhase
+from comfreyusher.entry._tokens import BEGIN_PIPE
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.messages import ClientRequestBody, RequestCredit
 
@@ -40,7 +41,7 @@
     if not was_complete and request.fingerprint:
         request = replace(request, fingerprint=compute_fingerprint(request))
     if request.held_for_body and is_complete(request):
-        step = begin_attempt(state, replace(request, held_for_body=False))
+        step = BEGIN_PIPE(state, replace(request, held_for_body=False))
         return end_pipe(step.state, step.item, *credits, *step.messages)
     return end_pipe(state, request, *credits, *sends)
 
--- a/comfreyusher/entry/_responses.py
+++ b/comfreyusher/entry/_responses.py
@@ -14,6 +14,7 @@
     ResponseStart,
 )
 from comfreyusher.platform import build_request_id_headers
+from comfreyusher.quota import TokenReturned
 from comfreyusher.telemetry import RequestMeasured, SpanEnded
 
 OUTCOME_HEADER = b"Comfreyusher-Outcome"
@@ -58,6 +59,9 @@
     messages = (
         Envelope("entry", RequestFinished(request.exchange, outcome, status, reason)),
     )
+    if request.has_token and outcome is Outcome.NOT_RUN:
+        returned = TokenReturned(request.client_account.name)
+        messages += (Envelope("quota", returned),)
     if request.accounted:
         took_ms = int((state.now_s - request.arrived_s) * 1000)
         ended_ms = request.arrived_ms + took_ms
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -104,7 +104,8 @@
     waits for the replication of the account entry. ``replication_finished`` is set
     even if no node acknowledged the replica in time. ``held_for_body`` tells that
     the request waits for the part of its body that the fingerprint covers,
-    ``held_for_token`` that it waits for a token of its client account's rate.
+    ``held_for_token`` that it waits for a token of its client account's rate, and
+    ``has_token`` that it has got one.
     """
 
     exchange: int
@@ -136,6 +137,7 @@
     held_for_body: bool = False
     client_account: ClientAccount | None = None
     held_for_token: bool = False
+    has_token: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -19,6 +19,7 @@
 from comfreyusher.entry._body import add_body, credit_caller, handle_request_credit
 from comfreyusher.entry._grant_requests import live_attempts, repeat_grant_request
 from comfreyusher.entry._grants import handle_grant
+from comfreyusher.entry._log_lines import log_answered
 from comfreyusher.entry._messages import (
     EndRequests,
     NodeView,
@@ -40,6 +41,10 @@
     is_hedge_due,
     is_overdue,
 )
+from comfreyusher.entry._tokens import (
+    handle_token_decision,
+    is_unused,
+)
 from comfreyusher.events import log_info, log_warning
 from comfreyusher.flow import (
     Subscribe,
@@ -70,6 +75,7 @@
 )
 from comfreyusher.platform import parse_caller_headers
 from comfreyusher.quarantine import QuarantinesChanged
+from comfreyusher.quota import TokenDecision, TokenReturned
 from comfreyusher.telemetry import derive_context, parse_context, start_context
 
 CHANNEL = "entry"
@@ -116,6 +122,7 @@
             ReplicationFinished: self.handle_replication_finished,
             SendReport: self.handle_send_report,
             RequestFinished: self.handle_request_finished,
+            TokenDecision: self.handle_token_decision,
             NodeView: self.handle_node_view,
             QuarantinesChanged: self.handle_quarantines_changed,
             EndRequests: self.handle_end_requests,
@@ -179,6 +186,14 @@
 
         return run
 
+    def handle_token_decision(self, decision):
+        """Begin or refuse a held request; the token of one that has ended goes back."""
+        request = self.requests.get(decision.exchange)
+        if request is not None:
+            self.run(handle_token_decision, request, decision)
+        elif decision.granted:
+            self.send_message("quota", TokenReturned(decision.account))
+
     def handle_replication_finished(self, finished):
         """Release the response that waits for the replication of its account entry."""
         request = self.requests.get(finished.exchange)
@@ -190,25 +205,7 @@
         request = self.requests.pop(finished.exchange, None)
         if request is None:
             return
-        last = request.attempts[-1] if request.attempts else None
-        took_ms = round((self.state.now_s - request.arrived_s) * 1000, 1)
-        log_info(
-            PART,
-            "answered",
-            request=request.request_id,
-            number=request.exchange,
-            outcome=finished.outcome.value,
-            status=finished.status,
-            reason=finished.reason,
-            service=request.match.service if request.match else "",
-            attempts=len(request.attempts),
-            tried=request.tried_upstreams,
-            upstream=last.upstream if last else "",
-            owner=last.owner if last else "",
-            version=self.state.table.version,
-            sent_ms=_since_arrival_ms(request, last),
-            took_ms=took_ms,
-        )
+        log_answered(self.state, request, finished)
 
     # Callers -----------------------------------------------------------------
 
@@ -266,6 +263,8 @@
         if request is None:
             return
         self.run(cancel_all, request, Verdict.CANCELLED)
+        if is_unused(request):
+            self.send_message("quota", TokenReturned(request.client_account.name))
         outcome = (
             Outcome.UNKNOWN if request.sends or request.attempts else Outcome.NOT_RUN
         )
@@ -391,10 +390,3 @@
                 group=attempt.grant_request.group,
                 owner=attempt.owner,
             )
-
-
-def _since_arrival_ms(request, attempt):
-    """Return the ms from the arrival until an attempt was sent, or ``None``."""
-    if attempt is None or not attempt.sent_s:
-        return None
-    return round((attempt.sent_s - request.arrived_s) * 1000, 1)
--- a/comfreyusher/membership/_task.py
+++ b/comfreyusher/membership/_task.py
@@ -25,9 +25,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersChanged:
-    """The live members changed; ``members`` are sorted by name."""
+    """The live members changed; ``members`` are sorted by name.
+
+    ``departed`` are the names of members that have said that they leave.
+    """
 
     members: tuple
+    departed: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,7 +151,12 @@
             return
         self._log_changes({record.node for record in members})
         self.view = members
-        self.send_message("node", MembersChanged(members))
+        departed = frozenset(
+            record.name
+            for record in self.state.members.values()
+            if record.standing is MemberStanding.LEAVING
+        )
+        self.send_message("node", MembersChanged(members, departed))
 
     def _log_changes(self, current):
         previous = {record.node for record in self.view}
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -76,6 +76,11 @@
     CrashNotice,
     QuarantineNotice,
 )
+from comfreyusher.messages._quota import (
+    BucketHandover,
+    TokenGrant,
+    TokenRequest,
+)
 
 __all__ = [
     "NOT_RUN_VERDICTS",
@@ -83,6 +88,7 @@
     "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
+    "BucketHandover",
     "CallerDisconnected",
     "ClientInterimResponse",
     "ClientRequestBody",
@@ -129,6 +135,8 @@
     "SnapshotResponse",
     "ToHostPort",
     "ToNode",
+    "TokenGrant",
+    "TokenRequest",
     "TopicWatermark",
     "UpstreamDelta",
     "UpstreamLoad",
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -22,6 +22,7 @@
 from comfreyusher.platform import PlatformTask, parse_upstream_headers
 from comfreyusher.quarantine import QuarantineTask
 from comfreyusher.queries import QueryTask
+from comfreyusher.quota import QuotaTask
 from comfreyusher.settings import (
     CustomerKeyMode,
     HalfCloseMode,
@@ -109,6 +110,7 @@
         DepartureTask(own),
         DirectoryTask(own),
         QuarantineTask(own),
+        QuotaTask(own),
         ConfigurationTask(own.node),
         AccountTask(own.node),
         QueryTask(),
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -6,6 +6,7 @@
 
 from comfreyusher.departures import has_left
 from comfreyusher.entry import UpstreamGroup
+from comfreyusher.feeds import RegionChanged
 from comfreyusher.flow import drop_before
 from comfreyusher.membership import score_member
 from comfreyusher.owner import Plan, UpstreamSpec
@@ -225,3 +226,12 @@
 
 def _is_any(own, record):
     return True
+
+
+def build_region_changed(own, members):
+    """Return the nodes of a node's region and of its data centre, for the feeds."""
+    region = [record for record in members if record.region == own.region]
+    data_centre_nodes = [r.node for r in region if r.data_centre == own.data_centre]
+    return RegionChanged(
+        tuple(record.node for record in region), tuple(data_centre_nodes)
+    )
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -5,6 +5,7 @@
 import math
 import signal as signals
 
+import immutables
 from circuits import handler
 
 from comfreyusher.accounts import AccountsFlushed, FlushAccounts, ReplicationViewChanged
@@ -14,7 +15,7 @@
 from comfreyusher.documents import DocumentError
 from comfreyusher.entry import EndRequests, NodeView
 from comfreyusher.events import log_info, log_warning
-from comfreyusher.feeds import ConfigurationChanged, RegionChanged, UpstreamsChanged
+from comfreyusher.feeds import ConfigurationChanged, UpstreamsChanged
 from comfreyusher.flow import Subscribe, Task, Tick, replace
 from comfreyusher.http import IdleTimeout
 from comfreyusher.membership import (
@@ -26,6 +27,7 @@
 )
 from comfreyusher.node._plans import (
     PlanState,
+    build_region_changed,
     choose_replica_node,
     derive_groups,
     derive_plans,
@@ -33,6 +35,7 @@
     update_upstream_specs,
 )
 from comfreyusher.node._profile import default_profile, find_seed_addresses
+from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
 from comfreyusher.node._shutdown_times import derive_shutdown_times
 from comfreyusher.operators import NodeStatus
 from comfreyusher.owner import Ejected, LeaveGroups, PlansUpdated, Quarantined
@@ -95,7 +98,9 @@
         self.upstreams_read = False
         self.was_ready = False
         self.upstreams = {}
-        self.members = ()
+        self.members_changed = MembersChanged(())
+        self.limited = immutables.Map()
+        self.quota_view = NO_QUOTA
         self.table = RoutingTable(default_profile=default_profile(settings.fleet))
         self.plan_state = PlanState()
         self.ownership = Ownership()
@@ -136,6 +141,7 @@
         configuration = changed.configuration
         self.published_version = configuration.version
         self.table = set_published_routes(self.table, configuration)
+        self.limited = select_limited(configuration.client_accounts)
         if configuration.idle_timeout_ms:
             idle_s = configuration.idle_timeout_ms / 1000 + IDLE_MARGIN_S
             self.send_message("callers", IdleTimeout(idle_s))
@@ -158,14 +164,14 @@
 
     def handle_members_changed(self, changed):
         """Use a newer list of live members, and send it to the tasks that need it."""
-        self.members = changed.members
+        self.members_changed = changed
         self.ownership = update_ownership(self.ownership, changed.members)
         streams = {r.node: (r.host, r.peer_port) for r in changed.members}
         datagrams = {r.node: (r.host, r.gossip_port) for r in changed.members}
         addresses = PeerAddresses(streams, datagrams)
         self.send_message("peers", addresses)
         self.send_message("datagrams", addresses)
-        self.send_message("feeds", self._build_region_changed(changed.members))
+        self.send_message("feeds", build_region_changed(self.own, changed.members))
         self.send_message("departures", changed)
         self.send_message("directory", changed)
         self.send_message("quarantine", changed)
@@ -177,21 +183,22 @@
         )
         self._send_node_view()
 
-    def _build_region_changed(self, members):
-        own = self.own
-        region = [record for record in members if record.region == own.region]
-        data_centre_nodes = [r.node for r in region if r.data_centre == own.data_centre]
-        return RegionChanged(
-            tuple(record.node for record in region), tuple(data_centre_nodes)
-        )
-
     def _update_plans(self):
         fair_sharing = self.settings.fleet.fair_sharing is Switch.ON
         self.plan_state = derive_plans(self.plan_state, self.table, fair_sharing)
         self.send_message("owner", PlansUpdated(self.plan_state.plans))
         self._send_node_view()
 
+    def _send_quota_view(self):
+        """Send the quota task its view, if any account has or had a rate."""
+        leaving, fleet = self.phase is not Phase.SERVING, self.settings.fleet
+        view = build_quota_view(self.limited, self.members_changed, fleet, leaving)
+        if view != self.quota_view and (view.accounts or self.quota_view.accounts):
+            self.quota_view = view
+            self.send_message("quota", view)
+
     def _send_node_view(self):
+        self._send_quota_view()
         view = NodeView(
             self.table,
             has_routes(self.table),
@@ -272,7 +279,7 @@
             self.is_ready,
             self.published_version,
             self.declarations,
-            self.members,
+            self.members_changed.members,
             self.resources.entry.in_flight,
         )
         self.send_message("operators", status)
--- a/comfreyusher/peering/_codec.py
+++ b/comfreyusher/peering/_codec.py
@@ -62,6 +62,9 @@
     51: messages.AcquittalNotice,
     52: messages.QuarantineNotice,
     53: messages.DepartureNotice,
+    60: messages.TokenRequest,
+    61: messages.TokenGrant,
+    62: messages.BucketHandover,
 }
 NUMBER_BY_CLASS = {cls: number for number, cls in CLASS_BY_NUMBER.items()}
 
--- a/comfreyusher/peering/_datagrams.py
+++ b/comfreyusher/peering/_datagrams.py
@@ -11,6 +11,7 @@
 from comfreyusher.messages import (
     AcquittalNotice,
     AttemptReport,
+    BucketHandover,
     CrashNotice,
     Denial,
     DepartureNotice,
@@ -24,6 +25,8 @@
     QueuedAck,
     ReportAck,
     ToHostPort,
+    TokenGrant,
+    TokenRequest,
     ToNode,
     UpstreamDelta,
 )
@@ -49,6 +52,9 @@
     AcquittalNotice: "quarantine",
     QuarantineNotice: "quarantine",
     DepartureNotice: "departures",
+    TokenRequest: "quota",
+    TokenGrant: "quota",
+    BucketHandover: "quota",
 }
 
 
--- a/comfreyusher/telemetry/__init__.py
+++ b/comfreyusher/telemetry/__init__.py
@@ -2,10 +2,12 @@
 
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
+    BucketLevel,
     GrantDenied,
     HeadersUnreadable,
     RequestMeasured,
     SpanEnded,
+    TokensMeasured,
     UpstreamEjected,
 )
 from comfreyusher.telemetry._task import TelemetryTask
@@ -19,11 +21,13 @@
 
 __all__ = [
     "AttemptEnded",
+    "BucketLevel",
     "GrantDenied",
     "HeadersUnreadable",
     "RequestMeasured",
     "SpanEnded",
     "TelemetryTask",
+    "TokensMeasured",
     "TraceContext",
     "UpstreamEjected",
     "derive_context",
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -54,6 +54,25 @@
     names: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BucketLevel:
+    """Tokens in the bucket of a client account that this node holds."""
+
+    account: str
+    level: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokensMeasured:
+    """Tokens of client accounts in a second: pairs of decision and number.
+
+    ``levels`` holds the buckets that lent most.
+    """
+
+    counts: tuple
+    levels: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -81,6 +81,30 @@
             "Headers of responses whose value was ignored, by upstream and name.",
         )
 
+        self.tokens = meter.create_counter(
+            "comfreyusher.tokens", "1", "Tokens of client accounts by decision."
+        )
+        self.bucket_levels = ()
+        self.levels = meter.create_observable_gauge(
+            "comfreyusher.bucket.level",
+            [self.observe_bucket_levels],
+            "1",
+            "Tokens in the buckets that lent most, by client account.",
+        )
+
+    def record_tokens(self, measured):
+        """Count tokens by decision, and keep the levels of the buckets."""
+        self.bucket_levels = measured.levels
+        for decision, count in measured.counts:
+            self.tokens.add(count, {"comfreyusher.decision": decision})
+
+    def observe_bucket_levels(self, options):
+        """Return the levels of the last second; called when a reader collects."""
+        return [
+            Observation(level.level, {"comfreyusher.account": level.account})
+            for level in self.bucket_levels
+        ]
+
     def record_request(self, request):
         """Count a request and record its duration."""
         labels = RequestLabels(request.service, request.outcome, request.status)
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -11,6 +11,7 @@
     HeadersUnreadable,
     RequestMeasured,
     SpanEnded,
+    TokensMeasured,
     UpstreamEjected,
 )
 
@@ -55,6 +56,7 @@
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
+            TokensMeasured: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -87,6 +89,7 @@
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
+            TokensMeasured: self.meters.record_tokens,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,365 @@
+"""Tokens of client accounts: holders, entry nodes, and what fails between them."""
+
+import unittest
+import unittest.mock
+
+import immutables
+from absl import logging
+
+from comfreyusher.declarations import ClientAccount
+from comfreyusher.entry import EndRequests
+from comfreyusher.flow import replace
+from comfreyusher.messages import (
+    BucketHandover,
+    CallerDisconnected,
+    ClientRequestFailed,
+    ClientRequestStart,
+    GrantRequest,
+    RequestBody,
+    TokenGrant,
+    TokenRequest,
+    find_header,
+)
+from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
+from comfreyusher.quota import TokenDecision, TokenReturned, TokenWanted
+from comfreyusher.settings import FleetSettings
+from tests.quota_fleet import QuotaFleet
+from tests.test_entry import EntryCase
+
+ACCOUNT = ClientAccount("a", ("k",), 0, 10.0, 10.0)
+
+
+def setUpModule():
+    unittest.mock.patch.object(logging, "warning").start()
+    unittest.mock.patch.object(logging, "info").start()
+
+
+def tearDownModule():
+    unittest.mock.patch.stopall()
+
+
+class QuotaCase(unittest.TestCase):
+    """A small fleet with one account."""
+
+    def setUp(self):
+        self.fleet = QuotaFleet(8, [ACCOUNT])
+        self.first, self.second = self.ranked()[:2]
+        self.entry = next(n for n in self.others(self.first, self.second))
+        self.sent = []
+        deliver = self.fleet.send_datagram
+
+        def send(sender, target, body):
+            self.sent.append((sender.record.name, target.rpartition(".")[0], body))
+            if not self.loses(body):
+                deliver(sender, target, body)
+
+        self.loses = lambda body: False
+        self.fleet.send_datagram = send
+
+    def ranked(self):
+        return self.fleet.rank("a")
+
+    def others(self, *names):
+        return [n for name, n in self.fleet.nodes.items() if name not in names]
+
+    def ask(self, count=1, node=None, wait_s=0.5):
+        """Return the decisions on some requests that arrive together."""
+        before = len(self.fleet.decisions.get("a", ()))
+        for _ in range(count):
+            self.fleet.request("a", node or self.entry)
+        self.fleet.run(wait_s)
+        return self.fleet.decisions.get("a", ())[before:]
+
+    def granted(self, *args, **kwargs):
+        return sum(decision[1] for decision in self.ask(*args, **kwargs))
+
+    def bodies(self, kind):
+        return [body for _, _, body in self.sent if type(body) is kind]
+
+
+class HolderTests(QuotaCase):
+    def test_the_burst_is_lent_once_and_the_rest_is_refused(self):
+        decisions = self.ask(30)
+        self.assertEqual(sum(d[1] for d in decisions), 10)
+
+    # Guards against callers that are told to come again all at the same time.
+    def test_refused_callers_are_told_different_true_times(self):
+        refused = [d[2] for d in self.ask(30) if not d[1]]
+        self.assertEqual(len(refused), 20)
+        self.assertGreater(len(set(refused)), 15)
+        self.assertGreaterEqual(min(refused), 90)
+        self.assertLessEqual(max(refused), 5000)
+
+    # The cost of refusing is borne by the entry node.
+    def test_a_node_refuses_locally_until_the_time_that_it_was_told(self):
+        self.ask(30, wait_s=0.05)
+        self.sent.clear()
+        self.ask(30, wait_s=0.01)
+        self.assertEqual(self.bodies(TokenRequest), [])
+
+    # Guards against a bucket that lends a token twice for a repeated datagram.
+    def test_a_repeated_request_is_answered_as_before(self):
+        lost = []
+        self.loses = lambda body: (
+            type(body) is TokenGrant and not lost.append(1) and (len(lost) == 1)
+        )
+        decisions = self.ask()
+        requests, grants = self.bodies(TokenRequest), self.bodies(TokenGrant)
+        self.assertEqual([d[1] for d in decisions], [True])
+        self.assertEqual(requests[0], requests[1])
+        self.assertEqual(grants[0], grants[1])
+        bucket = self.fleet.nodes[self.first].task.holder.buckets["a"]
+        self.assertAlmostEqual(bucket.level, 9.0, places=3)
+
+    def test_an_unused_token_comes_back_once(self):
+        self.ask(10)
+        self.fleet.give_back(self.entry, "a")
+        self.fleet.run(0.2)
+        returned = [r.returned for r in self.bodies(TokenRequest)]
+        self.assertEqual(sum(returned), 1)
+
+    # Guards against tokens that pile up at entry nodes and run in a later window.
+    def test_leased_tokens_expire_and_are_returned(self):
+        for _ in range(20):
+            self.ask(wait_s=0.02)
+        self.fleet.run(3)
+        tokens = self.entry.task.tokens.accounts["a"]
+        self.assertEqual((tokens.leases, tokens.unused), ((), 0))
+
+
+class FailureTests(QuotaCase):
+    # Guards against a second full bucket while the first member is only unreachable.
+    def test_the_second_lends_from_its_reserve_while_it_sees_the_first_alive(self):
+        self.loses = lambda body: False
+        self.fleet.kill(self.first)
+        nodes = self.others(self.first)
+        granted = sum(self.granted(10, node, wait_s=0.5) for node in nodes)
+        alone = sum(1 for _ in nodes)
+        self.assertGreaterEqual(granted, 10)
+        self.assertLessEqual(granted, 10 + 1 + alone)
+
+    # Guards against a burst that runs a second time at the next holder.
+    def test_the_next_holder_starts_empty_and_refills_at_the_rate(self):
+        self.ask(10)
+        self.fleet.kill(self.first)
+        self.fleet.run(5.6)
+        self.assertLessEqual(self.granted(30, wait_s=0.2), 10)
+        self.assertEqual(self.ranked()[0], self.second)
+        self.fleet.run(3)
+        self.assertGreater(self.granted(10), 7)
+
+    def test_a_joining_holder_gets_the_level_of_the_one_before(self):
+        self.fleet.kill(self.first)
+        self.fleet.run(20)
+        self.assertEqual(self.granted(6), 6)
+        self.fleet.restart(self.first)
+        self.fleet.run(2)
+        self.assertEqual(self.ranked()[0], self.first)
+        self.assertTrue(self.bodies(BucketHandover))
+        self.assertGreaterEqual(self.granted(4), 4)
+
+    def test_a_leaving_holder_hands_its_buckets_over(self):
+        self.ask(4)
+        self.fleet.leave(self.first)
+        self.fleet.run(2)
+        self.assertIn(
+            (self.first, self.second),
+            [(s, t) for s, t, b in self.sent if type(b) is BucketHandover],
+        )
+        self.assertGreaterEqual(self.granted(8), 8)
+        # Members that left in an orderly way are not counted as lost.
+        self.assertEqual(len(self.entry.task.view.lost), 0)
+
+    def test_a_holder_lends_the_share_of_the_members_that_it_reaches(self):
+        lost = [n.record.name for n in self.others(self.first, self.second)][1:4]
+        self.fleet.isolate(lost)
+        self.fleet.run(10)
+        self.ask(40)
+        self.fleet.run(0.1)
+        before = len(self.fleet.granted_times("a"))
+        for _ in range(100):
+            self.ask(2, wait_s=0.1)
+        granted = len(self.fleet.granted_times("a")) - before
+        self.assertLessEqual(granted, 10 * 10 * 5 / 8 + 3)
+        self.assertGreater(granted, 10 * 10 * 5 / 8 * 0.8)
+
+    # Guards against a node that takes itself for the only one and lends everything.
+    def test_a_node_that_is_cut_off_spends_its_share_only(self):
+        name = self.entry.record.name
+        self.fleet.isolate([name])
+        granted = sum(self.granted(5, wait_s=0.5) for _ in range(20))
+        self.assertLessEqual(granted, 1 + 10.0 * 10 / 8)
+
+    def test_a_restarted_node_holds_no_tokens_and_does_not_lend_at_once(self):
+        self.ask(10)
+        self.fleet.kill(self.first)
+        self.fleet.run(2)
+        self.fleet.restart(self.first)
+        task = self.fleet.nodes[self.first].task
+        self.assertEqual(len(task.holder.buckets), 0)
+        self.fleet.run(1.0)
+        self.assertLessEqual(self.granted(30, wait_s=0.6), 10 + 1)
+
+    def test_a_lowered_rate_empties_the_bucket_to_the_new_burst(self):
+        self.ask(1)
+        self.fleet.set_accounts(replace_limits(ACCOUNT, 2.0, 2.0))
+        self.fleet.run(3.1)
+        self.assertLessEqual(self.granted(10, wait_s=0.3), 2)
+
+    # Guards against a full bucket for an account that has just spent it.
+    def test_an_account_that_is_removed_and_added_again_has_no_second_burst(self):
+        self.ask(10)
+        for accounts in ((), (ACCOUNT,)):
+            self.fleet.accounts = immutables.Map({a.name: a for a in accounts})
+            for node in self.fleet.nodes.values():
+                node.show()
+        self.assertLessEqual(self.granted(10, wait_s=0.2), 6)
+
+    def test_an_account_without_a_rate_passes(self):
+        self.fleet.set_accounts()
+        self.fleet.run(3.1)
+        self.assertEqual(self.granted(30), 30)
+
+    def test_all_requests_get_a_decision_when_no_member_answers(self):
+        self.fleet.kill(*(n.record.name for n in self.others(self.entry.record.name)))
+        decisions = self.ask(5, wait_s=0.6)
+        self.assertEqual(len(decisions), 5)
+        self.assertTrue(all(d[1] or 500 <= d[2] <= 1500 for d in decisions))
+
+
+def replace_limits(account, rate_per_s, burst):
+    """Return an account with other limits."""
+    return ClientAccount(account.name, account.keys, 0, rate_per_s, burst)
+
+
+class CostTests(unittest.TestCase):
+    # New behaviour must cost nothing where no account has a rate.
+    def test_nothing_is_sent_or_timed_without_a_rate(self):
+        fleet = QuotaFleet(3, [])
+        self.assertEqual(fleet.datagrams, 0)
+        self.assertTrue(all(not node.periods for node in fleet.nodes.values()))
+        accounts = select_limited((ClientAccount("a"), ACCOUNT))
+        self.assertEqual(list(accounts), ["a"])
+        self.assertFalse(select_limited((ClientAccount("a"),)))
+        self.assertFalse(NO_QUOTA.accounts)
+
+    def test_ticks_end_when_nothing_waits(self):
+        fleet = QuotaFleet(3, [ACCOUNT])
+        node = fleet.nodes["vm-0"]
+        fleet.request("a", node)
+        fleet.run(1)
+        self.assertNotIn("tick", node.periods)
+        fleet.run(200)
+        self.assertTrue(all(not node.periods for node in fleet.nodes.values()))
+
+    def test_the_view_has_the_settings_in_seconds(self):
+        changed = unittest.mock.Mock(members=(), departed=frozenset())
+        view = build_quota_view(immutables.Map(), changed, FleetSettings(), False)
+        self.assertEqual((view.window_s, view.overshoot, view.slack), (5.0, 0.1, 20.0))
+
+
+class EntryTests(EntryCase):
+    """Requests at the entry task that wait for a token."""
+
+    def send_request(self, number=1, *args, **kwargs):
+        """Send a request that the filter before ``require_token`` has identified."""
+        with unittest.mock.patch.object(
+            self.task, "_new_request", side_effect=self.identify
+        ):
+            super().send_request(number, *args, **kwargs)
+
+    def identify(self, start):
+        request = type(self.task)._new_request(self.task, start)
+        return replace(request, client_account=ACCOUNT)
+
+    def decide(self, granted, number=1, retry_after_ms=0):
+        self.deliver(TokenDecision(number, granted, retry_after_ms, "a"))
+
+    def test_a_request_waits_for_its_token(self):
+        self.send_request()
+        self.assertEqual(self.pop_messages(TokenWanted), [TokenWanted(1, "a")])
+        self.assertEqual(self.pop_messages(GrantRequest), [])
+        self.decide(True)
+        (request,) = self.pop_messages(GrantRequest)
+        self.assertEqual(request.client_account, "a")
+
+    def test_a_request_over_the_rate_gets_429_and_a_true_time(self):
+        self.send_request()
+        self.decide(False, retry_after_ms=1234)
+        (response,) = self.pop_responses()
+        self.assertEqual(response.head.status, 429)
+        self.assertEqual(find_header(response.head, b"retry-after"), "1.23")
+        outcome = find_header(response.head, b"comfreyusher-outcome")
+        self.assertEqual(outcome, "not-run")
+        self.assertEqual(self.pop_messages(TokenReturned), [])
+
+    def test_a_held_request_is_overdue_at_its_deadline(self):
+        self.send_request(deadline=b"300")
+        self.advance(0.4)
+        (response,) = self.pop_responses()
+        self.assertEqual(response.head.status, 503)
+        self.decide(True)
+        self.assertEqual(self.pop_messages(TokenReturned), [TokenReturned("a")])
+
+    def test_a_held_request_is_answered_at_the_end_of_the_node(self):
+        self.send_request()
+        self.deliver(EndRequests())
+        (response,) = self.pop_responses()
+        self.assertEqual(response.head.status, 503)
+
+    def test_a_token_for_a_caller_that_went_away_is_returned(self):
+        self.send_request()
+        self.deliver(CallerDisconnected(1))
+        self.decide(True)
+        self.assertEqual(self.pop_messages(TokenReturned), [TokenReturned("a")])
+
+    def test_a_token_is_returned_once_when_nothing_was_sent(self):
+        self.send_request(deadline=b"300")
+        self.decide(True)
+        self.advance(0.5)
+        self.assertEqual(self.pop_messages(TokenReturned), [TokenReturned("a")])
+        self.deliver(CallerDisconnected(1))
+        self.assertEqual(self.pop_messages(TokenReturned), [])
+
+    def test_a_caller_that_leaves_before_the_sending_returns_its_token(self):
+        self.send_request()
+        self.decide(True)
+        self.deliver(CallerDisconnected(1))
+        self.assertEqual(self.pop_messages(TokenReturned), [TokenReturned("a")])
+
+    def test_a_token_of_a_request_that_was_sent_is_used(self):
+        self.send_request()
+        self.decide(True)
+        self.grant()
+        self.deliver(CallerDisconnected(1))
+        self.assertEqual(len(self.pop_messages(ClientRequestStart)), 1)
+        self.assertEqual(self.pop_messages(TokenReturned), [])
+
+    # Guards against a request that skips its token when its body ends later.
+    def test_a_request_that_waited_for_its_body_needs_a_token_too(self):
+        self.send_request(1, "POST", b"b")
+        (request,) = self.task.requests.values()
+        head = request.fingerprint.partition(".")[0]
+        quarantined = immutables.Map({f"{head}.0": self.now + 60})
+        self.task.state = replace(self.task.state, quarantined=quarantined)
+        self.pop_messages(TokenWanted)
+        self.send_request(2, "POST", b"b", ended=False)
+        self.assertEqual(self.pop_messages(TokenWanted), [])
+        self.send_body(2, b"c")
+        self.assertEqual(self.pop_messages(TokenWanted), [TokenWanted(2, "a")])
+        self.assertEqual(self.pop_messages(GrantRequest), [])
+
+    def test_a_retry_needs_no_second_token(self):
+        self.send_request()
+        self.decide(True)
+        self.pop_messages(TokenWanted)
+        self.fail_unreached()
+        self.assertEqual(self.pop_messages(TokenWanted), [])
+        self.assertEqual(len(self.pop_messages(GrantRequest)), 2)
+
+    def send_body(self, number, body):
+        self.deliver(RequestBody(number, body, True))
+
+    def fail_unreached(self):
+        key = self.grant()
+        self.deliver(ClientRequestFailed(key, False, False, "refused"))
