--- a/comfreyusher/membership/_ownership.py
+++ b/comfreyusher/membership/_ownership.py
@@ -84,14 +84,14 @@
 
 
 def _rank_members(members, group, region):
-    scores = [
-        score_member(group, region, record)
-        for record in members.values()
-        if record.region == region
-    ]
-    if not scores:
-        scores = [score_member(group, region, record) for record in members.values()]
-    return tuple(sorted(scores)[:RANKED_OWNERS])
+    names = [record.name for record in members.values() if record.region == region]
+    prefix = f"{group}|{region}|".encode()
+    # Pairs instead of scores: their comparison takes a tenth of the time.
+    pairs = (
+        (xxhash.xxh64_intdigest(prefix + name.encode()), name)
+        for name in names or members
+    )
+    return tuple(Score(*pair) for pair in heapq.nsmallest(RANKED_OWNERS, pairs))
 
 
 def _insert_joined(key, ranking, joined, members):
--- a/comfreyusher/quota/_alone.py
+++ b/comfreyusher/quota/_alone.py
@@ -53,10 +53,13 @@
     """Return 1 or 0: most nodes have had no request of an account for a while.
 
     In a large fleet only some nodes may spend a first token, by a hash. None may for
-    an account that was over its rate.
+    an account that was over its rate, and none soon after a start: a whole fleet that
+    starts anew has no denials, and would spend one token a node.
     """
     if now - tokens.denied_s < DENIED_KEPT_S:
         return 0.0
+    if now < view.settled_s + view.window_s:
+        return 0.0
     allowed = view.slack * FIRST_TOKEN_SLACK_SHARE + view.overshoot * account.burst
     probability = allowed / (CUT_OFF_PART * count_known(view))
     drawn = xxhash.xxh32_intdigest(f"{view.own.node}{account.name}".encode()) / 2**32
--- a/comfreyusher/quota/_holder.py
+++ b/comfreyusher/quota/_holder.py
@@ -215,21 +215,20 @@
         )
     elif pull is None:
         return end_pipe((state, view), Counted())
-    return _end_pull(state, view, account, now)
+    # The member before has lent nothing at the full rate, and this node nothing since
+    # its process started.
+    return _end_pull(state, view, account, view.started_s, now)
 
 
-def _end_pull(state, view, account, now):
-    """Answer the requests that waited for a level."""
+def _end_pull(state, view, account, empty_s, now):
+    """Answer the requests that waited; the bucket was empty at ``empty_s`` at worst."""
     pull = state.pulls.get(account.name)
     if pull is None:
         return end_pipe((state, view), Counted())
     state = replace(state, pulls=state.pulls.delete(account.name))
     bucket = state.buckets.get(account.name)
     if bucket is None or not bucket.is_first:
-        since_s = first_since_s(view, account.name)
-        bucket = _begin_bucket(state, view, account, since_s, now)
-        # What the member before lent since this node has settled is not known.
-        bucket = replace(bucket, level=0.0)
+        bucket = _begin_bucket(state, view, account, empty_s, now)
         state = replace(state, buckets=state.buckets.set(account.name, bucket))
     messages, lent, refused = (), 0, 0
     for request in pull.requests:
@@ -256,9 +255,9 @@
             since_s = first_since_s(view, name)
             account = view.accounts[name]
             level = _begin_bucket(state, view, account, since_s, now).level
-    elif successor is not None and successor[0] == handover.node:
-        level = successor[2]
-    if level >= 0:
+    elif successor is not None:
+        level = successor[2] if successor[0] == handover.node else 0.0
+    if level >= 0 and (successor is None or successor[0] == handover.node):
         state = _end_lending(state, name, handover.node, level, now)
     body = BucketHandover(view.own.node, name, level)
     return end_pipe((state, view), Counted(), _to(handover.node, body))
@@ -320,7 +319,8 @@
         if account is None:
             state = replace(state, pulls=state.pulls.delete(name))
         elif pull.tries >= HANDOVER_TRIES:
-            step = _end_pull(state, view, account, now)
+            # What the member before has lent is not known.
+            step = _end_pull(state, view, account, now, now)
             (state, view), counted = step.state, step.item
             messages += step.messages
         else:
--- a/comfreyusher/quota/_tokens.py
+++ b/comfreyusher/quota/_tokens.py
@@ -282,7 +282,11 @@
     first_silent = _is_silent(state, ask.first, now)
     second_silent = not ask.second or _is_silent(state, ask.second, now)
     give_up_s = SILENT_AFTER_S if first_silent and second_silent else GIVE_UP_S
-    if now - ask.asked_s >= give_up_s and (ask.second or len(ranking) < 2):
+    # A node that has just started holds its requests: holders that started with it
+    # lend nothing until they know the fleet.
+    waits = now < view.settled_s + GIVE_UP_S
+    was_asked = bool(ask.second) or len(ranking) < 2
+    if now - ask.asked_s >= give_up_s and was_asked and not waits:
         state = _mark_silent(state, view, ask, now)
         return _give_up(state, view, name, ask, now)
     messages = ()
