--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -10,6 +10,7 @@
     AcquittalNotice,
     AttemptKey,
     AttemptReport,
+    BucketHandover,
     CompressedRecord,
     CrashNotice,
     Denial,
@@ -28,6 +29,8 @@
     ReportAck,
     SnapshotRequest,
     SnapshotResponse,
+    TokenGrant,
+    TokenRequest,
     ToNode,
     TopicWatermark,
     UpstreamDelta,
@@ -103,6 +106,9 @@
     st.builds(CrashNotice, TEXT, TEXT, NUMBER, NUMBER, NUMBER),
     st.builds(AcquittalNotice, TEXT),
     st.builds(QuarantineNotice, TEXT, NUMBER),
+    st.builds(TokenRequest, TEXT, NUMBER, TEXT, NUMBER, NUMBER, st.integers(0, 2)),
+    st.builds(TokenGrant, TEXT, NUMBER, TEXT, NUMBER, NUMBER, TEXT),
+    st.builds(BucketHandover, TEXT, TEXT, st.floats(allow_nan=False), FLAGS),
     st.builds(
         Grant, KEYS, TEXT, TEXT, NUMBER, st.floats(allow_nan=False), NUMBER, NUMBER
     ),
