--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,30 +1,38 @@
 """Tokens of client accounts: holders, entry nodes, and what fails between them."""
 
+import types
 import unittest
 import unittest.mock
 
 import immutables
 from absl import logging
 
-from comfreyusher.declarations import ClientAccount
+from comfreyusher.declarations import ClientAccount, PlatformConfiguration
 from comfreyusher.entry import EndRequests
+from comfreyusher.feeds import ConfigurationChanged
 from comfreyusher.flow import replace
+from comfreyusher.membership import GossipSettings, MembersChanged, MembershipTask
 from comfreyusher.messages import (
     BucketHandover,
     CallerDisconnected,
     ClientRequestFailed,
     ClientRequestStart,
+    GossipKind,
+    GossipMessage,
     GrantRequest,
+    MemberStanding,
     RequestBody,
     TokenGrant,
     TokenRequest,
     find_header,
 )
 from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
-from comfreyusher.quota import TokenDecision, TokenReturned, TokenWanted
-from comfreyusher.settings import FleetSettings
+from comfreyusher.node._task import NodeTask
+from comfreyusher.quota import QuotaView, TokenDecision, TokenReturned, TokenWanted
+from comfreyusher.settings import FleetSettings, TelemetrySettings
+from comfreyusher.telemetry import BucketLevel, TelemetryTask, TokensMeasured
 from tests.quota_fleet import QuotaFleet
-from tests.test_entry import EntryCase
+from tests.test_entry import EntryCase, member
 
 ACCOUNT = ClientAccount("a", ("k",), 0, 10.0, 10.0)
 
@@ -367,3 +375,97 @@
     def fail_unreached(self):
         key = self.grant()
         self.deliver(ClientRequestFailed(key, False, False, "refused"))
+
+
+class WiringTests(unittest.TestCase):
+    """What the node and membership tasks tell the quota task, and its metrics."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.sent = []
+        settings = types.SimpleNamespace(fleet=FleetSettings())
+        resources = unittest.mock.Mock(secrets=())
+        self.node = NodeTask(
+            member(1), settings, resources, lambda: None, clock=lambda: self.now
+        )
+        self.node.send_message = lambda channel, body: self.sent.append(body)
+        self.deliver(MembersChanged((member(1), member(2))))
+
+    def deliver(self, body):
+        self.node.message_handlers[type(body)](body)
+
+    def pop_views(self):
+        views = [body for body in self.sent if type(body) is QuotaView]
+        self.sent.clear()
+        return views
+
+    def configure(self, *accounts):
+        configuration = PlatformConfiguration(1, client_accounts=accounts)
+        changed = unittest.mock.Mock(spec=ConfigurationChanged)
+        changed.configuration = configuration
+        self.node.handle_configuration_changed(changed)
+
+    def test_the_view_follows_configuration_members_and_settings(self):
+        self.configure(ClientAccount("b"))
+        self.assertEqual(self.pop_views(), [])
+        self.configure(ClientAccount("b"), ACCOUNT)
+        (view,) = self.pop_views()
+        self.assertEqual(list(view.accounts), ["a"])
+        self.deliver(MembersChanged((member(1),), frozenset({"vm-2"})))
+        (view,) = self.pop_views()
+        self.assertEqual((len(view.members), view.departed), (1, {"vm-2"}))
+        fleet = replace(self.node.settings.fleet, quota_slack=4.0)
+        settings = types.SimpleNamespace(fleet=fleet)
+        self.node.settings = settings
+        self.node._update_plans()
+        (view,) = self.pop_views()
+        self.assertEqual(view.slack, 4.0)
+        self.configure()
+        (view,) = self.pop_views()
+        self.assertFalse(view.accounts)
+        self.configure()
+        self.assertEqual(self.pop_views(), [])
+
+    # Guards against a share of the rate that is lost for 10 min after each departure.
+    def test_members_that_say_that_they_leave_are_named(self):
+        task = MembershipTask(member(1), GossipSettings(), 1, clock=lambda: self.now)
+        task.send_message = lambda channel, body: self.sent.append(body)
+        leaving = replace(member(2), standing=MemberStanding.LEAVING, version=1)
+        for record in (member(2), leaving):
+            task.handle_gossip_message(
+                GossipMessage("vm-2.1", GossipKind.PAGE, members=(record,))
+            )
+        changes = [body for body in self.sent if type(body) is MembersChanged]
+        self.assertEqual(changes[-1].departed, {"vm-2"})
+        self.assertEqual([r.name for r in changes[-1].members], ["vm-1"])
+
+    def test_tokens_and_levels_are_metrics(self):
+        telemetry = TelemetryTask("vm-1.1", TelemetrySettings())
+        telemetry.load_meters()
+        counts = (("lent", 3), ("refused", 2))
+        levels = (BucketLevel("a", 7.0),)
+        telemetry.handle_measurement(TokensMeasured(counts, levels))
+        text = telemetry.read_prometheus_text().decode()
+        self.assertRegex(text, r'tokens_total{comfreyusher_decision="lent".* 3')
+        self.assertRegex(text, r'bucket_level.*{comfreyusher_account="a".* 7')
+
+    # Guards against lines and metrics in proportion to the refused requests.
+    def test_refusals_are_logged_once_a_second_for_the_worst_accounts(self):
+        fleet = QuotaFleet(3, [ACCOUNT])
+        lines, measured = [], []
+        node = fleet.nodes["vm-0"]
+        send = node.task.send_message
+
+        def collect(channel, body):
+            measured.append(body) if channel == "telemetry" else send(channel, body)
+
+        node.task.send_message = collect
+        path = "comfreyusher.quota._task.log_info"
+        with unittest.mock.patch(path, lambda *args, **kw: lines.append((args, kw))):
+            for _ in range(100):
+                fleet.request("a", node)
+            fleet.run(1.5)
+        over = [fields for args, fields in lines if args[1] == "over rate"]
+        self.assertEqual(len(over), 1)
+        self.assertEqual(over[0]["refused"], 90)
+        self.assertEqual(dict(measured[0].counts)["refused"], 90)
