--- a/comfreyusher/peering/_datagrams.py
+++ b/comfreyusher/peering/_datagrams.py
@@ -56,13 +56,15 @@
     TokenGrant: "quota",
     BucketHandover: "quota",
 }
+# Messages that are answered, also to a node that has started just now.
+REQUESTS = frozenset((GrantRequest, TokenRequest, BucketHandover))
 
 
 class PeerDatagramTask(DatagramTask):
     """Authenticates datagrams and routes them between nodes and local tasks.
 
     ``addresses`` maps live nodes to ``(host, port)``. ``observed_addresses`` maps
-    other nodes to the address that their last grant request came from; responses
+    other nodes to the address that their last request came from; responses
     go there until the node is known. ``keys`` is a function that returns the shared
     keys: the first one signs, and each of them verifies. ``dropped_total`` counts
     messages to nodes without an address, and datagrams that are not authentic or
@@ -125,7 +127,7 @@
         except CodecError as error:
             self._drop(host, str(error))
             return
-        if type(body) is GrantRequest and body.node not in self.addresses:
+        if type(body) in REQUESTS and body.node not in self.addresses:
             self.observed_addresses[body.node] = (host, port)
         if type(body) in CHANNEL_BY_CLASS:
             self._deliver(body)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -11,7 +11,7 @@
 from comfreyusher.declarations import ClientAccount
 from comfreyusher.flow import Subscribe, Tick, Unsubscribe, replace
 from comfreyusher.flow._timers import next_multiple
-from comfreyusher.messages import MemberRecord, ToNode
+from comfreyusher.messages import MemberRecord, TokenGrant, ToNode
 from comfreyusher.quota import (
     QuotaTask,
     QuotaView,
@@ -41,6 +41,7 @@
         self.task = QuotaTask(record, clock=lambda: fleet.clock.now)
         self.task.send_message = self.send
         self.known = {record.name: record}
+        self.observed = set()
         self.departed = frozenset()
         self.leaving = False
 
@@ -72,7 +73,8 @@
         self.fleet.clock.at(due_s, tick)
 
     def show(self):
-        """Send the task what this node knows."""
+        """Send the task what this node knows, and the addresses of the members."""
+        self.observed.clear()
         records = sorted(self.known.values(), key=lambda record: record.name)
         self.deliver(
             QuotaView(
@@ -264,12 +266,22 @@
         name = target.rpartition(".")[0]
         self.datagrams += 1
         receiver = self.nodes.get(name)
+        known = sender.known.get(name)
+        has_address = known is not None and known.node == target
+        if not has_address and target not in sender.observed | {sender.record.node}:
+            return
         if receiver is None or not self.reach(sender.record.name, name):
             return
         if receiver is not sender and self.random.random() < self.loss:
             return
         delay_s = self.find_delay(sender.record, receiver.record)
-        self.clock.at(self.clock.now + delay_s, lambda: receiver.deliver(body))
+
+        def arrive():
+            if type(body) is not TokenGrant:
+                receiver.observed.add(sender.record.node)
+            receiver.deliver(body)
+
+        self.clock.at(self.clock.now + delay_s, arrive)
 
     def find_delay(self, one, other):
         if one.name == other.name:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -309,11 +309,17 @@
         self.assertEqual(self.sent, [])
 
     def test_response_to_an_unknown_node_goes_to_the_source_of_its_request(self):
-        request = _grant_request("vm-3.1")
-        data = tag_datagram(b"key", encode_datagram(request))
-        self.task.on_datagram(data, "10.0.0.3", 9)
-        self.task.handle_to_node(ToNode("vm-3.1", self.ack))
-        self.assertEqual(self.sent, [("10.0.0.3", 9)])
+        for request in (
+            _grant_request("vm-3.1"),
+            TokenRequest("vm-3.1", 1, "a", 1),
+            BucketHandover("vm-3.1", "a", wanted=True),
+        ):
+            self.task.observed_addresses.clear()
+            self.sent.clear()
+            data = tag_datagram(b"key", encode_datagram(request))
+            self.task.on_datagram(data, "10.0.0.3", 9)
+            self.task.handle_to_node(ToNode("vm-3.1", self.ack))
+            self.assertEqual(self.sent, [("10.0.0.3", 9)])
 
     def test_wrong_tags_and_corrupt_messages_are_dropped_and_counted(self):
         good = encode_datagram(self.ack)
