--- a/comfreyusher/entry/_body.py
+++ b/comfreyusher/entry/_body.py
@@ -5,13 +5,14 @@
 from comfreyusher.entry._grant_requests import begin_attempt, live_attempts
 from comfreyusher.entry._responses import CALLERS
 from comfreyusher.entry._state import AttemptPhase
+from comfreyusher.entry._tokens import require_token
 from comfreyusher.flow import Envelope, end_pipe, pipe, replace
 from comfreyusher.messages import ClientRequestBody, RequestCredit
 
 UPSTREAMS = "upstreams"
 MAX_BUFFERED_BODY_BYTES = 1 << 20
 # The key may have been removed while the request waited for its body.
-RELEASE_PIPE = pipe(identify_client_account, begin_attempt)
+RELEASE_PIPE = pipe(identify_client_account, require_token, begin_attempt)
 
 
 def credit_caller(request, size_bytes):
--- a/comfreyusher/entry/_log.py
+++ b/comfreyusher/entry/_log.py
@@ -1,4 +1,4 @@
-"""The log line of a finished request."""
+"""The log lines of finished requests and of failed attempts."""
 
 from comfreyusher.events import log_info
 
@@ -29,6 +29,20 @@
     )
 
 
+def log_failure(request, report):
+    """Log a failed attempt; its request may have ended."""
+    log_info(
+        PART,
+        "attempt failed",
+        request=request.request_id if request else "",
+        number=report.key.number,
+        attempt=report.key.attempt,
+        upstream=report.upstream,
+        verdict=report.verdict.value,
+        took_ms=report.took_ms,
+    )
+
+
 def _since_arrival_ms(request, attempt):
     """Return the ms from the arrival until an attempt was sent, or ``None``."""
     if attempt is None or not attempt.sent_s:
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -116,8 +116,9 @@
     waits for the replication of the account entry. ``replication_finished`` is set
     even if no node acknowledged the replica in time. ``held_for_body`` tells that
     the request waits for the part of its body that the fingerprint covers,
-    ``held_for_token`` that it waits for a token of its client account's rate.
-    ``key_fault`` tells why it was rejected for want of a known key.
+    ``held_for_token`` that it waits for a token of its client account's rate, and
+    ``has_token`` that it has got one. ``key_fault`` tells why it was rejected for want
+    of a known key.
     """
 
     exchange: int
@@ -150,6 +151,7 @@
     client_account: ClientAccount | None = None
     held_for_token: bool = False
     key_fault: KeyFault = KeyFault.NONE
+    has_token: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -20,7 +20,7 @@
 from comfreyusher.entry._grant_requests import live_attempts, repeat_grant_request
 from comfreyusher.entry._grants import handle_grant
 from comfreyusher.entry._key_refusals import KeyRefusals
-from comfreyusher.entry._log import log_answered
+from comfreyusher.entry._log import log_answered, log_failure
 from comfreyusher.entry._messages import (
     EndRequests,
     NodeView,
@@ -42,7 +42,11 @@
     is_hedge_due,
     is_overdue,
 )
-from comfreyusher.events import log_info, log_warning
+from comfreyusher.entry._tokens import (
+    handle_token_decision,
+    is_unused,
+)
+from comfreyusher.events import log_warning
 from comfreyusher.feeds import ConfigurationKnown
 from comfreyusher.flow import (
     Subscribe,
@@ -73,6 +77,7 @@
 )
 from comfreyusher.platform import parse_caller_headers
 from comfreyusher.quarantine import QuarantinesChanged
+from comfreyusher.quota import TokenDecision, TokenReturned
 from comfreyusher.telemetry import derive_context, parse_context, start_context
 
 CHANNEL = "entry"
@@ -122,6 +127,7 @@
             ReplicationFinished: self.handle_replication_finished,
             SendReport: self.handle_send_report,
             RequestFinished: self.handle_request_finished,
+            TokenDecision: self.handle_token_decision,
             NodeView: self.handle_node_view,
             ConfigurationKnown: self.handle_configuration_known,
             QuarantinesChanged: self.handle_quarantines_changed,
@@ -186,6 +192,14 @@
 
         return run
 
+    def handle_token_decision(self, decision):
+        """Begin or refuse a held request; the token of one that has ended goes back."""
+        request = self.requests.get(decision.exchange)
+        if request is not None:
+            self.run(handle_token_decision, request, decision)
+        elif decision.granted:
+            self.send_message("quota", TokenReturned(decision.account))
+
     def handle_replication_finished(self, finished):
         """Release the response that waits for the replication of its account entry."""
         request = self.requests.get(finished.exchange)
@@ -258,6 +272,8 @@
         if request is None:
             return
         self.run(cancel_all, request, Verdict.CANCELLED)
+        if is_unused(request):
+            self.send_message("quota", TokenReturned(request.client_account.name))
         outcome = (
             Outcome.UNKNOWN if request.sends or request.attempts else Outcome.NOT_RUN
         )
@@ -280,24 +296,11 @@
         if message.span is not None:
             self.send_message("telemetry", message.span)
         if report.verdict not in (Verdict.GOOD, Verdict.CANCELLED):
-            self._log_failure(report)
+            log_failure(self.requests.get(report.key.number), report)
         running_s = self.tick_monitor.running_s(self.clock())
         self.reports.send(message.owner, report, running_s)
         self._start_ticking()
 
-    def _log_failure(self, report):
-        request = self.requests.get(report.key.number)
-        log_info(
-            PART,
-            "attempt failed",
-            request=request.request_id if request else "",
-            number=report.key.number,
-            attempt=report.key.attempt,
-            upstream=report.upstream,
-            verdict=report.verdict.value,
-            took_ms=report.took_ms,
-        )
-
     def handle_report_ack(self, ack):
         """Stop resending a report that its owner has acknowledged."""
         owner = self.reports.acknowledge(ack.key)
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -26,6 +26,7 @@
 )
 from comfreyusher.quarantine import QuarantineTask
 from comfreyusher.queries import QueryTask
+from comfreyusher.quota import QuotaTask
 from comfreyusher.settings import (
     CustomerKeyMode,
     HalfCloseMode,
@@ -118,6 +119,7 @@
         DepartureTask(own),
         DirectoryTask(own),
         QuarantineTask(own),
+        QuotaTask(own),
         ConfigurationTask(own.node),
         AccountTask(own.node),
         QueryTask(),
--- a/comfreyusher/node/_profile.py
+++ b/comfreyusher/node/_profile.py
@@ -1,4 +1,4 @@
-"""The default profile and the seeds, derived from the settings of the fleet."""
+"""What a node derives from its settings: default profile, seeds, needed restart."""
 
 import dataclasses
 
@@ -48,6 +48,19 @@
     )
 
 
+def list_fields_for_restart(before, after):
+    """Return the names of settings that changed and need a restart.
+
+    Only the fleet's settings take effect without one.
+    """
+    return [
+        field.name
+        for field in dataclasses.fields(after)
+        if field.name != "fleet"
+        and getattr(after, field.name) != getattr(before, field.name)
+    ]
+
+
 def _parse_address(text):
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -5,6 +5,7 @@
 import math
 import signal as signals
 
+import immutables
 from circuits import handler
 
 from comfreyusher.accounts import AccountsFlushed, FlushAccounts, ReplicationViewChanged
@@ -25,6 +26,7 @@
     update_ownership,
 )
 from comfreyusher.node._configuration_loader import TICK_NAME, ConfigurationLoader
+from comfreyusher.node._log import log_ejected, log_quarantined
 from comfreyusher.node._plans import (
     PlanState,
     choose_replica_node,
@@ -34,7 +36,12 @@
     update_departures,
     update_upstream_specs,
 )
-from comfreyusher.node._profile import default_profile, find_seed_addresses
+from comfreyusher.node._profile import (
+    default_profile,
+    find_seed_addresses,
+    list_fields_for_restart,
+)
+from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
 from comfreyusher.node._shutdown_times import derive_shutdown_times
 from comfreyusher.operators import NodeStatus
 from comfreyusher.owner import Ejected, LeaveGroups, PlansUpdated, Quarantined
@@ -96,10 +103,12 @@
         self.upstreams_read = False
         self.was_ready = False
         self.upstreams = {}
-        self.members = ()
         self.loader = ConfigurationLoader(
             CHANNEL, lambda *args: self.send_message(*args)
         )
+        self.members_changed = MembersChanged(())
+        self.limited = immutables.Map()
+        self.quota_view = NO_QUOTA
         self.table = RoutingTable(default_profile=default_profile(settings.fleet))
         self.plan_state = PlanState()
         self.ownership = Ownership()
@@ -147,6 +156,7 @@
             return
         self.table, configuration = table, self.loader.configuration
         self.published_version = configuration.version
+        self.limited = select_limited(configuration.client_accounts)
         if configuration.idle_timeout_ms:
             idle_s = configuration.idle_timeout_ms / 1000 + IDLE_MARGIN_S
             self.send_message("callers", IdleTimeout(idle_s))
@@ -169,7 +179,7 @@
 
     def handle_members_changed(self, changed):
         """Use a newer list of live members, and send it to the tasks that need it."""
-        self.members = changed.members
+        self.members_changed = changed
         self.ownership = update_ownership(self.ownership, changed.members)
         streams = {r.node: (r.host, r.peer_port) for r in changed.members}
         datagrams = {r.node: (r.host, r.gossip_port) for r in changed.members}
@@ -194,7 +204,16 @@
         self.send_message("owner", PlansUpdated(self.plan_state.plans))
         self._send_node_view()
 
+    def _send_quota_view(self):
+        """Send the quota task its view, if any account has or had a rate."""
+        leaving, fleet = self.phase is not Phase.SERVING, self.settings.fleet
+        view = build_quota_view(self.limited, self.members_changed, fleet, leaving)
+        if view != self.quota_view and (view.accounts or self.quota_view.accounts):
+            self.quota_view = view
+            self.send_message("quota", view)
+
     def _send_node_view(self):
+        self._send_quota_view()
         view = NodeView(
             self.table,
             has_routes(self.table),
@@ -231,25 +250,13 @@
 
     def handle_ejected(self, ejected):
         """Log and count an ejection."""
-        log_warning(
-            "owner",
-            "ejected",
-            upstream=ejected.upstream,
-            group=ejected.group,
-            reason=ejected.reason,
-        )
+        log_ejected(ejected)
         ejection = UpstreamEjected(ejected.group, ejected.upstream, ejected.reason)
         self.send_message("telemetry", ejection)
 
     def handle_quarantined(self, quarantined):
         """Spread the quarantine of a request that crashed upstreams of a group."""
-        log_warning(
-            "owner",
-            "quarantined",
-            group=quarantined.group,
-            fingerprint=quarantined.fingerprint,
-            crashed=quarantined.crashed_upstreams,
-        )
+        log_quarantined(quarantined)
         begun = QuarantineBegun(quarantined.fingerprint, quarantined.quarantine_ms)
         self.send_message("quarantine", begun)
 
@@ -277,7 +284,7 @@
             self.is_ready,
             self.published_version,
             self.declarations,
-            self.members,
+            self.members_changed.members,
             self.resources.entry.in_flight,
         )
         self.send_message("operators", status)
@@ -310,12 +317,7 @@
             return
         if settings is None or settings == self.settings:
             return
-        needs_restart = [
-            field.name
-            for field in dataclasses.fields(settings)
-            if field.name != "fleet"
-            and getattr(settings, field.name) != getattr(self.settings, field.name)
-        ]
+        needs_restart = list_fields_for_restart(self.settings, settings)
         log_info(PART, "settings reloaded", cause=cause, needs_restart=needs_restart)
         self.settings = settings
         profile = default_profile(settings.fleet)
--- a/comfreyusher/telemetry/__init__.py
+++ b/comfreyusher/telemetry/__init__.py
@@ -2,12 +2,14 @@
 
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
+    BucketLevel,
     GrantDenied,
     HeadersUnreadable,
     KeysRefused,
     RecordsRepublished,
     RequestMeasured,
     SpanEnded,
+    TokensMeasured,
     UpstreamEjected,
 )
 from comfreyusher.telemetry._task import TelemetryTask
@@ -21,6 +23,7 @@
 
 __all__ = [
     "AttemptEnded",
+    "BucketLevel",
     "GrantDenied",
     "HeadersUnreadable",
     "KeysRefused",
@@ -28,6 +31,7 @@
     "RequestMeasured",
     "SpanEnded",
     "TelemetryTask",
+    "TokensMeasured",
     "TraceContext",
     "UpstreamEjected",
     "derive_context",
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -14,6 +14,7 @@
     RecordsRepublished,
     RequestMeasured,
     SpanEnded,
+    TokensMeasured,
     UpstreamEjected,
 )
 
@@ -61,6 +62,7 @@
             KeysRefused: self.handle_measurement,
             RecordsRepublished: self.handle_measurement,
             EraChanged: self.handle_measurement,
+            TokensMeasured: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -96,6 +98,7 @@
             KeysRefused: self.meters.count_key_refusals,
             RecordsRepublished: self.meters.count_republished,
             EraChanged: self.meters.record_era,
+            TokensMeasured: self.meters.record_tokens,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -10,6 +10,7 @@
     AcquittalNotice,
     AttemptKey,
     AttemptReport,
+    BucketHandover,
     CompressedRecord,
     CrashNotice,
     Denial,
@@ -28,6 +29,8 @@
     ReportAck,
     SnapshotRequest,
     SnapshotResponse,
+    TokenGrant,
+    TokenRequest,
     ToNode,
     TopicWatermark,
     UpstreamDelta,
@@ -103,6 +106,9 @@
     st.builds(CrashNotice, TEXT, TEXT, NUMBER, NUMBER, NUMBER),
     st.builds(AcquittalNotice, TEXT),
     st.builds(QuarantineNotice, TEXT, NUMBER),
+    st.builds(TokenRequest, TEXT, NUMBER, TEXT, NUMBER, NUMBER, st.integers(0, 2)),
+    st.builds(TokenGrant, TEXT, NUMBER, TEXT, NUMBER, NUMBER, TEXT),
+    st.builds(BucketHandover, TEXT, TEXT, st.floats(allow_nan=False), FLAGS),
     st.builds(
         Grant, KEYS, TEXT, TEXT, NUMBER, st.floats(allow_nan=False), NUMBER, NUMBER
     ),
@@ -303,11 +309,17 @@
         self.assertEqual(self.sent, [])
 
     def test_response_to_an_unknown_node_goes_to_the_source_of_its_request(self):
-        request = _grant_request("vm-3.1")
-        data = tag_datagram(b"key", encode_datagram(request))
-        self.task.on_datagram(data, "10.0.0.3", 9)
-        self.task.handle_to_node(ToNode("vm-3.1", self.ack))
-        self.assertEqual(self.sent, [("10.0.0.3", 9)])
+        for request in (
+            _grant_request("vm-3.1"),
+            TokenRequest("vm-3.1", 1, "a", 1),
+            BucketHandover("vm-3.1", "a", wanted=True),
+        ):
+            self.task.observed_addresses.clear()
+            self.sent.clear()
+            data = tag_datagram(b"key", encode_datagram(request))
+            self.task.on_datagram(data, "10.0.0.3", 9)
+            self.task.handle_to_node(ToNode("vm-3.1", self.ack))
+            self.assertEqual(self.sent, [("10.0.0.3", 9)])
 
     def test_wrong_tags_and_corrupt_messages_are_dropped_and_counted(self):
         good = encode_datagram(self.ack)
