--- a/comfreyusher/settings/_model.py
+++ b/comfreyusher/settings/_model.py
@@ -160,6 +160,14 @@
     idle_timeout_s: PositiveSeconds = optional_field(
         75.0, "Longest pause between requests."
     )
+    max_held_bytes: PositiveInt = optional_field(
+        67108864,
+        "Memory for what callers have sent and not yet read; beyond it connections "
+        "that hold most and progress least are closed.",
+    )
+    max_unfinished_requests: PositiveInt = optional_field(
+        1024, "Requests whose head or body is still being received."
+    )
 
     def check(self):
         """Yield faults of the address."""
