--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Runs the formatter, the linter, unit tests, the demo and scenarios; counts them.
+"""Runs the formatter, the linter, all tests, the demo and scenarios; counts them.
 
 The last line is ``N passed, N failed``. Failures that KNOWN-RED.txt lists are
 printed, but not counted as failed and not part of the exit status.
@@ -22,6 +22,8 @@
 FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): .*?\(([^()\s]+)\)", re.M)
 TESTS_RUN = re.compile(r"^Ran (\d+) tests?", re.M)
 SKIPPED = re.compile(r"skipped=(\d+)")
+# Run apart from all other load, since these tests bound the memory of a process.
+HOSTILE_CALLERS = "tests.hostile.callers"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -49,11 +51,11 @@
     return [Check(name, completed.returncode == 0, lines[-1] if lines else "")]
 
 
-def run_unit_tests():
-    """Run nose2, and return one check for each test."""
-    print("== nose2", flush=True)
+def run_tests(name, *modules):
+    """Run modules with nose2, by default all, and return one check for each test."""
+    print(f"== {name}", flush=True)
     completed = subprocess.run(
-        [sys.executable, "-m", "nose2", "-s", "tests", "-t", ".", "-v"],
+        [sys.executable, "-m", "nose2", "-s", "tests", "-t", ".", "-v", *modules],
         cwd=ROOT,
         env={**os.environ, "PYTHONHASHSEED": HASH_SEED},
         stdout=subprocess.PIPE,
@@ -66,10 +68,10 @@
     count = int(tests_run.group(1)) if tests_run else 0
     skipped = SKIPPED.search(completed.stdout)
     passed = count - len(failed_tests) - (int(skipped.group(1)) if skipped else 0)
-    checks = [Check(f"unit {number}", True) for number in range(passed)]
+    checks = [Check(f"{name} {number}", True) for number in range(passed)]
     if not tests_run or (completed.returncode and not failed_tests):
-        checks.append(Check("nose2", False))
-    return checks + [Check(name, False) for name in sorted(failed_tests)]
+        checks.append(Check(name, False))
+    return checks + [Check(test, False) for test in sorted(failed_tests)]
 
 
 def run_scenarios():
@@ -149,9 +151,10 @@
     checks = [
         *run_command("formatter", "ruff", "format", "--check", "."),
         *run_command("linter", "ruff", "check", "."),
-        *run_unit_tests(),
+        *run_tests("nose2"),
         *run_command("demo", "extras.demo"),
         *run_scenarios(),
+        *run_tests("hostile callers", HOSTILE_CALLERS),
     ]
     known_red = read_known_red()
     failed = [check for check in checks if not check.passed]
