--- a/comfreyusher/routing/_table.py
+++ b/comfreyusher/routing/_table.py
@@ -48,7 +48,8 @@
     publishes. ``services`` and ``profiles`` map names to declarations,
     ``customers`` key digests and ``hosts`` hosts to customer names. ``entries``
     and ``offset`` are those of the declarations, ``version`` is that of the
-    platform's routes.
+    platform's routes. ``longest_route`` and ``longest_published`` are the lengths
+    of the longest prefixes in the two tables, or more.
     """
 
     routes: immutables.Map = immutables.Map()
@@ -60,6 +61,8 @@
     entries: immutables.Map = immutables.Map()
     offset: int = 0
     version: int = 0
+    longest_route: int = 0
+    longest_published: int = 0
     default_profile: Profile = Profile(DEFAULT_PROFILE)
 
 
@@ -89,7 +92,10 @@
         rules[key] = known if same else _build_rule(route, route.parts)
     published_routes = immutables.Map(rules)
     return replace(
-        table, published_routes=published_routes, version=configuration.version
+        table,
+        published_routes=published_routes,
+        longest_published=max((len(prefix) for _, prefix in rules), default=0),
+        version=configuration.version,
     )
 
 
@@ -107,8 +113,9 @@
 
 
 def _find_rule(table, method, host, path):
+    longest_end = _find_longest_prefix(table, path)
     for name in (host, ""):
-        end = len(path)
+        end = longest_end
         while end > 0:
             prefix = path[:end]
             rule = table.published_routes.get((name, prefix))
@@ -121,6 +128,21 @@
     return None
 
 
+def _find_longest_prefix(table, path):
+    """Return the end of the longest prefix of a path that a route can match.
+
+    Callers choose the length of a path, and a longer prefix than those in the
+    tables matches none of them, except that routes of declarations ignore slashes
+    at its end: for these, the prefix with one slash more stands for all with more.
+    """
+    longest = max(table.longest_route, table.longest_published)
+    if len(path) <= longest:
+        return len(path)
+    if path[longest] == "/":
+        return longest + 1
+    return path.rfind("/", 0, longest) + 1
+
+
 def _find_shorter_prefix(path, end):
     """Return the end of the next shorter prefix of a path.
 
@@ -230,7 +252,7 @@
 
 
 def _replace_service(table, before, after):
-    routes = table.routes
+    routes, longest = table.routes, table.longest_route
     for route in before.routes if before else ():
         key = (route.host, route.prefix.rstrip("/") or "/")
         remaining = tuple(pair for pair in routes.get(key, ()) if pair[0] != after.name)
@@ -243,5 +265,6 @@
         parts = route.parts or (Part(after.name, 1),)
         pairs = routes.get(key, ()) + ((after.name, _build_rule(route, parts)),)
         routes = routes.set(key, tuple(sorted(pairs, key=lambda pair: pair[0])))
+        longest = max(longest, len(key[1]))
     services = table.services.set(after.name, after)
-    return replace(table, routes=routes, services=services)
+    return replace(table, routes=routes, services=services, longest_route=longest)
