--- a/comfreyusher/entry/_body.py
+++ b/comfreyusher/entry/_body.py
@@ -1,6 +1,6 @@
 """Decisions on the parts of a request body that follow its head."""
 
-from comfreyusher.entry._fingerprint import compute_fingerprint, is_complete
+from comfreyusher.entry._fingerprint import is_complete, update_fingerprint
 from comfreyusher.entry._grant_requests import begin_attempt, live_attempts
 from comfreyusher.entry._responses import CALLERS
 from comfreyusher.entry._state import AttemptPhase
@@ -9,13 +9,27 @@
 
 UPSTREAMS = "upstreams"
 MAX_BUFFERED_BODY_BYTES = 1 << 20
+# Parts below this size are joined: each part costs memory and work of its own.
+MIN_PART_BYTES = 16384
 
 
 def credit_caller(request, size_bytes):
     """Return the messages that grant flow-control credit to the caller."""
     if not size_bytes:
         return ()
-    return (Envelope(CALLERS, RequestCredit(request.exchange, size_bytes)),)
+    credit = RequestCredit(
+        request.exchange, size_bytes, buffered=not request.body_released
+    )
+    return (Envelope(CALLERS, credit),)
+
+
+def append_part(parts, data):
+    """Return the parts of a body with one more, joined to a short last part."""
+    if not data:
+        return parts
+    if parts and len(parts[-1]) < MIN_PART_BYTES:
+        return (*parts[:-1], parts[-1] + data)
+    return (*parts, data)
 
 
 def add_body(state, request, chunk):
@@ -29,7 +43,9 @@
         request = replace(request, body_parts=(), body_released=True)
     else:
         request = replace(
-            request, body_parts=(*request.body_parts, chunk.body), buffered_bytes=size
+            request,
+            body_parts=append_part(request.body_parts, chunk.body),
+            buffered_bytes=size,
         )
         if size <= MAX_BUFFERED_BODY_BYTES:
             credits = credit_caller(request, len(chunk.body))
@@ -38,7 +54,7 @@
         for attempt in sent
     )
     if not was_complete and request.fingerprint:
-        request = replace(request, fingerprint=compute_fingerprint(request))
+        request = replace(request, fingerprint=update_fingerprint(request))
     if request.held_for_body and is_complete(request):
         step = begin_attempt(state, replace(request, held_for_body=False))
         return end_pipe(step.state, step.item, *credits, *step.messages)
--- a/comfreyusher/entry/_fingerprint.py
+++ b/comfreyusher/entry/_fingerprint.py
@@ -14,8 +14,21 @@
     It covers the head and the first ``BODY_PREFIX_BYTES`` of the body. The pieces in
     which a body arrives, and how it is framed, make no difference.
     """
+    return f"{digest_head(request)}{SEPARATOR}{_digest_body(request)}"
+
+
+def update_fingerprint(request):
+    """Return the fingerprint of a request of which more of the body has arrived.
+
+    The head is not digested again: a body can arrive byte by byte.
+    """
+    head = request.fingerprint.partition(SEPARATOR)[0]
+    return f"{head}{SEPARATOR}{_digest_body(request)}"
+
+
+def _digest_body(request):
     body = b"".join(request.body_parts)[:BODY_PREFIX_BYTES]
-    return f"{digest_head(request)}{SEPARATOR}{xxhash.xxh3_64_hexdigest(body)}"
+    return xxhash.xxh3_64_hexdigest(body)
 
 
 def digest_head(request):
--- a/comfreyusher/entry/_grants.py
+++ b/comfreyusher/entry/_grants.py
@@ -26,6 +26,7 @@
 from comfreyusher.messages import (
     ClientRequestStart,
     Verdict,
+    replace_headers,
 )
 from comfreyusher.platform import UpstreamHeaders, build_upstream_head
 from comfreyusher.telemetry import format_context
@@ -132,6 +133,8 @@
     head = request.start.head
     if not request.trace.sampled:
         return head
-    kept = tuple(pair for pair in head.headers if pair[0].lower() != b"traceparent")
     context = format_context(dispatch_context(request, attempt))
-    return replace(head, headers=(*kept, (b"traceparent", context.encode())))
+    added = ((b"traceparent", context.encode()),)
+    return replace(
+        head, headers=replace_headers(head.headers, (b"traceparent",), added)
+    )
--- a/comfreyusher/entry/_responses.py
+++ b/comfreyusher/entry/_responses.py
@@ -11,6 +11,7 @@
     ResponseAbort,
     ResponseBody,
     ResponseHead,
+    ResponseHeld,
     ResponseStart,
 )
 from comfreyusher.platform import build_request_id_headers
@@ -111,7 +112,9 @@
     Only responses of requests with an account entry wait for replication.
     """
     if request.accounted and not request.replication_finished:
-        return end_pipe(state, replace(request, held_responses=(response,)))
+        held = ResponseHeld(request.exchange, len(response.body))
+        request = replace(request, held_responses=(response,))
+        return end_pipe(state, request, Envelope(CALLERS, held))
     start = ResponseStart(
         request.exchange,
         _build_head(request, response.head, response.upstream),
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -249,7 +249,7 @@
             context = derive_context(parent, f"{self.state.node}/{start.exchange}")
         return ActiveRequest(
             start.exchange,
-            start,
+            start if start.ended else replace(start, body=b""),
             parse_caller_headers(start.head).request_id or uuid6.uuid7().hex,
             context,
             self.clock(),
--- a/comfreyusher/http/_client.py
+++ b/comfreyusher/http/_client.py
@@ -161,7 +161,7 @@
 
     def _write_request(self, number, state, request):
         state.parser.expect_response(
-            request.head.method, self._build_matcher(request, state)
+            request.head.method, self._build_matcher(request.response_id, state)
         )
         state.response_id = request.response_id
         state.response_started = False
@@ -180,20 +180,21 @@
         self.write(number, head + body)
         self._send_credit(number, state)
 
-    def _build_matcher(self, request, state):
+    def _build_matcher(self, response_id, state):
         """Return a function from a response head to its ``MatchedRequest``.
 
-        Returns ``None`` if any response is accepted.
+        Returns ``None`` if any response is accepted. The function lives as long as
+        the connection, so it must not keep the request.
         """
-        if not request.response_id or self.read_response_id is None:
+        if not response_id or self.read_response_id is None:
             return None
 
         def match_response(head):
-            response_id = self.read_response_id(head)
-            if response_id:
+            own_id = self.read_response_id(head)
+            if own_id:
                 return (
                     MatchedRequest.CURRENT
-                    if response_id == request.response_id
+                    if own_id == response_id
                     else MatchedRequest.OTHER
                 )
             return MatchedRequest.UNKNOWN if state.used else MatchedRequest.CURRENT
--- /dev/null
+++ b/comfreyusher/http/_memory_budget.py
@@ -0,0 +1,103 @@
+"""Accounting of the memory held for callers, and the choice of what to close.
+
+Bytes are counted as the memory that they take in this process, not as sent. This
+module knows neither sockets nor parsers.
+"""
+
+import dataclasses
+
+# Measured on CPython 3.12: a connection with its parser, and a request in progress.
+CONNECTION_BYTES = 4096
+REQUEST_BYTES = 8192
+# Enforcement goes down to this share of a bound, so that it is seldom needed. It
+# closes connections with a request at an upstream only as far as the bound itself.
+TARGET_SHARE = 7 / 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """What a connection holds, and how its caller progresses.
+
+    ``stalled_s`` is the time without progress. ``unfinished`` tells that a request
+    is still being received, ``at_upstream`` that a whole request was passed on, and
+    that its response does not wait for the caller to read.
+    """
+
+    number: int
+    held_bytes: int
+    stalled_s: float = 0.0
+    unfinished: bool = False
+    at_upstream: bool = False
+
+
+class MemoryBudget:
+    """Counts the bytes and the unfinished requests of all connections."""
+
+    def __init__(self, max_held_bytes, max_unfinished_requests):
+        self.max_held_bytes = max_held_bytes
+        self.max_unfinished_requests = max_unfinished_requests
+        self.held_by_connection = {}
+        self.unfinished = set()
+        self.held_bytes = 0
+
+    def update(self, number, held_bytes, unfinished):
+        """Replace what a connection holds."""
+        self.held_bytes += held_bytes - self.held_by_connection.get(number, 0)
+        self.held_by_connection[number] = held_bytes
+        if unfinished:
+            self.unfinished.add(number)
+        elif self.unfinished:
+            self.unfinished.discard(number)
+
+    def remove(self, number):
+        """Release what a closed connection held."""
+        self.held_bytes -= self.held_by_connection.pop(number, 0)
+        self.unfinished.discard(number)
+
+    @property
+    def exceeded(self):
+        """Whether a bound is exceeded."""
+        return (
+            self.held_bytes > self.max_held_bytes
+            or len(self.unfinished) > self.max_unfinished_requests
+        )
+
+
+def choose_connections(holdings, budget):
+    """Return the holdings to close, so that the totals go well below the bounds.
+
+    Nothing is chosen for a bound that is not exceeded. An idle connection holds
+    nothing that closing it would release, so it is never chosen.
+    """
+    chosen = {}
+    excess = len(budget.unfinished) - budget.max_unfinished_requests
+    if excess > 0:
+        target = int(budget.max_unfinished_requests * TARGET_SHARE)
+        unfinished = [holding for holding in holdings if holding.unfinished]
+        unfinished.sort(key=_progress_order)
+        for holding in unfinished[: len(budget.unfinished) - target]:
+            chosen[holding.number] = holding
+    held_bytes = budget.held_bytes
+    held_bytes -= sum(holding.held_bytes for holding in chosen.values())
+    if held_bytes <= budget.max_held_bytes:
+        return list(chosen.values())
+    target_bytes = budget.max_held_bytes * TARGET_SHARE
+    for holding in sorted(holdings, key=_memory_order):
+        limit = budget.max_held_bytes if holding.at_upstream else target_bytes
+        if held_bytes <= limit:
+            break
+        if holding.number in chosen or holding.held_bytes <= CONNECTION_BYTES:
+            continue
+        chosen[holding.number] = holding
+        held_bytes -= holding.held_bytes
+    return list(chosen.values())
+
+
+def _progress_order(holding):
+    return (holding.at_upstream, -holding.stalled_s, -holding.held_bytes)
+
+
+def _memory_order(holding):
+    """Order by what is held and for how long; requests at an upstream come last."""
+    weight = holding.held_bytes * (1.0 + holding.stalled_s)
+    return (holding.at_upstream, -weight)
--- a/comfreyusher/http/_parse.py
+++ b/comfreyusher/http/_parse.py
@@ -11,20 +11,39 @@
 import httptools
 
 from comfreyusher.http._errors import HttpError
-from comfreyusher.messages import RequestHead, ResponseHead
+from comfreyusher.http._request_checks import check_headers, check_target
+from comfreyusher.messages import (
+    PackedHeaders,
+    RequestHead,
+    ResponseHead,
+    pack_headers,
+)
 
 METHODS_WITHOUT_RESPONSE_BODY = ("HEAD",)
 STATUSES_WITHOUT_BODY = (204, 304)
 MAX_NO_PROGRESS_BYTES = 1 << 18
+# Heads of more lines are kept as bytes; ordinary ones have fewer.
+MAX_PARSED_LINES = 64
+# Memory of a header pair in addition to its bytes, and of a head without its lines.
+HEADER_PAIR_BYTES = 160
+HEAD_BYTES = 1024
+# Colon and line end, which each header line has in addition to name and value.
+LINE_FRAMING_BYTES = 3
+# Some callers send an empty line behind a body. More of them count as a head.
+MAX_IGNORED_EMPTY_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ParsedHead:
-    """A complete head; ``keep_alive`` tells whether the sender keeps the connection."""
+    """A complete head; ``keep_alive`` tells whether the sender keeps the connection.
+
+    ``memory_bytes`` is the memory that the head takes.
+    """
 
     head: object
     keep_alive: bool
     expects_continue: bool = False
+    memory_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +73,9 @@
 class RequestParser:
     """Parses the requests of a caller's connection, including pipelined ones.
 
-    ``no_progress_bytes`` counts the bytes received since the last event.
+    ``no_progress_bytes`` counts the bytes received since the last event,
+    ``head_bytes`` those of an unfinished head and of empty lines before it. The
+    lines of long heads are moved from ``headers`` to ``packed_lines``.
     """
 
     def __init__(self, max_head_bytes, max_body_bytes):
@@ -62,13 +83,17 @@
         self.max_body_bytes = max_body_bytes
         self.parser = httptools.HttpRequestParser(self)
         self.events = []
+        self.body_parts = []
         self.no_progress_bytes = 0
+        self.message_ended = False
         self.reset_message()
 
     def reset_message(self):
         """Reset the state of the current message."""
         self.url = b""
         self.headers = []
+        self.packed_lines = b""
+        self.header_bytes = 0
         self.head_bytes = 0
         self.body_bytes = 0
         self.in_head = True
@@ -80,6 +105,7 @@
         Raises ``HttpError`` for a request that must be rejected. Events before
         the error stay in ``self.events``.
         """
+        self.message_ended = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -88,24 +114,65 @@
             raise _original_error(error) from error
         except httptools.HttpParserError as error:
             raise HttpError(400, f"malformed request: {error}") from error
-        if self.in_head and self.message_started:
-            self.head_bytes += len(data)
-        if self.in_head and self.head_bytes > self.max_head_bytes:
-            raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
+        if self.in_head:
+            self._check_unfinished_head(data)
         self._check_progress(data)
         return self.take_events()
 
+    def _check_unfinished_head(self, data):
+        """Count the bytes of a head without its end, and pack its lines.
+
+        Of data that also holds the end of another message, only the lines that were
+        read count.
+        """
+        if not self.message_ended:
+            self.head_bytes += len(data)
+        elif self.message_started:
+            self.head_bytes = len(self.url) + self.header_bytes + 1
+        if self.head_bytes > self.max_head_bytes:
+            raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
+        if len(self.headers) > MAX_PARSED_LINES:
+            self._pack_headers()
+
+    def _pack_headers(self):
+        self.packed_lines += pack_headers(self.headers)
+        self.headers = []
+
+    @property
+    def head_started(self):
+        """Whether a head, or more empty lines than are ignored, has begun."""
+        if not self.in_head:
+            return False
+        return self.message_started or self.head_bytes > MAX_IGNORED_EMPTY_BYTES
+
+    @property
+    def held_bytes(self):
+        """Memory that an unfinished head, trailer or chunk extension takes."""
+        if not self.in_head:
+            return self.no_progress_bytes
+        return self.head_bytes + HEADER_PAIR_BYTES * len(self.headers)
+
     def _check_progress(self, data):
         """Limit trailers and chunk extensions, which are not part of the body."""
-        if self.events:
+        if self.events or self.body_parts:
             self.no_progress_bytes = 0
             return
         self.no_progress_bytes += len(data)
         if self.no_progress_bytes > MAX_NO_PROGRESS_BYTES:
             raise HttpError(400, f"no body in {MAX_NO_PROGRESS_BYTES} bytes")
 
+    def close(self):
+        """Release what an unfinished message takes; nothing is parsed afterwards.
+
+        llhttp's binding and this object refer to each other, so that they would
+        stay until the next full collection of the garbage collector.
+        """
+        self.parser = None
+        self.reset_message()
+
     def take_events(self):
         """Return and clear the collected events."""
+        self._end_body_part()
         events, self.events = self.events, []
         return events
 
@@ -121,11 +188,11 @@
     def on_header(self, name, value):
         if self.in_head:
             self.headers.append((name, value))
+            self.header_bytes += len(name) + len(value) + LINE_FRAMING_BYTES
 
     def on_headers_complete(self):
         self.in_head = False
-        size = sum(len(name) + len(value) for name, value in self.headers)
-        if size + len(self.url) > self.max_head_bytes:
+        if self.header_bytes + len(self.url) > self.max_head_bytes:
             raise HttpError(431, f"head is over {self.max_head_bytes} bytes")
         self.events.append(self._build_head())
 
@@ -133,42 +200,43 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes:
             raise HttpError(413, f"body is over {self.max_body_bytes} bytes")
-        self.events.append(BodyData(data))
+        self.body_parts.append(data)
+
+    def _end_body_part(self):
+        """Join what was read of a body: small chunks take many times their bytes."""
+        if self.body_parts:
+            self.events.append(BodyData(b"".join(self.body_parts)))
+            self.body_parts = []
 
     def on_message_complete(self):
+        self._end_body_part()
         self.reset_message()
+        self.message_ended = True
         self.events.append(EndOfMessage())
 
     def _build_head(self):
         version = self.parser.get_http_version()
         if version not in ("1.0", "1.1"):
             raise HttpError(505, f"HTTP version {version} is not supported")
-        header_values = {}
-        for name, value in self.headers:
-            header_values.setdefault(name.lower(), []).append(value)
-        _check_host(header_values, version)
-        self._check_length(header_values, version)
-        _check_target(self.url)
-        expects_continue = _check_expect(header_values, version)
+        if self.packed_lines or len(self.headers) > MAX_PARSED_LINES:
+            self._pack_headers()
+            headers = PackedHeaders(self.packed_lines)
+            memory_bytes = HEAD_BYTES + len(self.packed_lines)
+        else:
+            headers = tuple(self.headers)
+            memory_bytes = HEAD_BYTES + HEADER_PAIR_BYTES * len(headers)
+            memory_bytes += self.header_bytes
+        check_target(self.url)
+        expects_continue = check_headers(headers, version, self.max_body_bytes)
         head = RequestHead(
             self.parser.get_method().decode("ascii"),
             self.url.decode("ascii"),
-            tuple(self.headers),
+            headers,
             version,
         )
-        return ParsedHead(head, self.parser.should_keep_alive(), expects_continue)
-
-    def _check_length(self, header_values, version):
-        codings = header_values.get(b"transfer-encoding", [])
-        if not codings:
-            lengths = header_values.get(b"content-length", [b"0"])
-            if int(lengths[0]) > self.max_body_bytes:
-                raise HttpError(413, f"body is over {self.max_body_bytes} bytes")
-            return
-        if version == "1.0":
-            raise HttpError(400, "Transfer-Encoding is not part of HTTP/1.0")
-        if len(codings) != 1 or codings[0].strip().lower() != b"chunked":
-            raise HttpError(501, "the only known transfer coding is chunked")
+        memory_bytes += len(self.url)
+        keep_alive = self.parser.should_keep_alive()
+        return ParsedHead(head, keep_alive, expects_continue, memory_bytes)
 
 
 class ResponseParser:
@@ -310,27 +378,3 @@
     if isinstance(cause, HttpError):
         return cause
     return HttpError(400, "malformed message")
-
-
-def _check_host(header_values, version):
-    hosts = header_values.get(b"host", [])
-    if len(hosts) > 1:
-        raise HttpError(400, "more than one Host header")
-    if not hosts and version == "1.1":
-        raise HttpError(400, "Host header is missing")
-
-
-def _check_target(url):
-    if any(byte <= 0x20 or byte >= 0x7F for byte in url):
-        raise HttpError(400, "request target holds a character that must be encoded")
-    if not url.startswith((b"/", b"http://", b"https://")) and url != b"*":
-        raise HttpError(400, "request target is not a path")
-
-
-def _check_expect(header_values, version):
-    expectations = header_values.get(b"expect", [])
-    if not expectations or version == "1.0":
-        return False
-    if [value.strip().lower() for value in expectations] != [b"100-continue"]:
-        raise HttpError(417, "the only known expectation is 100-continue")
-    return True
--- a/comfreyusher/http/_server.py
+++ b/comfreyusher/http/_server.py
@@ -3,31 +3,32 @@
 import dataclasses
 import itertools
 
-from comfreyusher.flow import StreamTask, Subscribe, Tick, replace
-from comfreyusher.http._encode import (
-    build_text_response,
-    encode_chunk,
-    encode_response_head,
-)
+from comfreyusher.flow import Subscribe, Tick, replace
+from comfreyusher.http._encode import encode_chunk, encode_response_head
 from comfreyusher.http._errors import HttpError
 from comfreyusher.http._parse import BodyData, ParsedHead
-from comfreyusher.http._server_connection import HttpLimits, ServerConnection
+from comfreyusher.http._server_bounds import NOT_RUN_HEADERS, BoundedServerTask
+from comfreyusher.http._server_connection import (
+    HttpLimits,
+    ServerConnection,
+    count_event_bytes,
+)
 from comfreyusher.messages import (
-    CallerDisconnected,
     InterimResponse,
-    Outcome,
     RequestBody,
     RequestCredit,
     RequestStart,
     ResponseAbort,
     ResponseBody,
     ResponseCredit,
+    ResponseHeld,
     ResponseStart,
 )
 
 SWEEP_PERIOD_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-OUTCOME_HEADER = b"Comfreyusher-Outcome"
+# Bytes parsed at a time, so that few events are parsed beyond those that may wait.
+PARSE_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,19 +38,11 @@
     seconds: float
 
 
-class HttpServerTask(StreamTask):
-    """Turns callers' requests into messages for the task on ``consumer``.
-
-    ``states`` maps numbers of connections to ``ServerConnection``,
-    ``number_by_exchange`` the exchanges in progress to their connections.
-    """
+class HttpServerTask(BoundedServerTask):
+    """Turns callers' requests into messages for the task on ``consumer``."""
 
     def __init__(self, channel, consumer, poller, limits=None, **kwargs):
-        super().__init__(channel, poller, **kwargs)
-        self.consumer = consumer
-        self.limits = limits or HttpLimits()
-        self.states = {}
-        self.number_by_exchange = {}
+        super().__init__(channel, consumer, poller, limits or HttpLimits(), **kwargs)
         self.exchange_numbers = itertools.count(1)
         self.closing_connections = False
         self.message_handlers = {
@@ -57,6 +50,7 @@
             ResponseBody: self.handle_response_body,
             InterimResponse: self.handle_interim_response,
             ResponseAbort: self.handle_response_abort,
+            ResponseHeld: self.handle_response_held,
             RequestCredit: self.handle_request_credit,
             IdleTimeout: self.handle_idle_timeout,
             Tick: self.handle_tick,
@@ -91,18 +85,22 @@
     def on_accepted(self, event):
         state = ServerConnection(event.host, self.limits, self.clock())
         self.states[event.connection] = state
+        self.count_connection(event.connection, state)
 
     def on_received(self, event):
         state = self.states.get(event.connection)
         if state is None:
             return
-        state.last_activity_s = self.clock()
+        now = state.last_activity_s = self.clock()
         if not event.data:
             self._handle_eof(event.connection, state)
             return
+        state.count_progress(len(event.data), now)
         if state.parse_error is None:
-            self._parse(state, event.data)
+            state.unparsed += event.data
+            self._parse(state)
         self._deliver_events(event.connection, state)
+        self.count_connection(event.connection, state)
 
     def on_drained(self, event):
         state = self.states.get(event.connection)
@@ -111,27 +109,35 @@
                 self.consumer, ResponseCredit(state.exchange, state.credit_due_bytes)
             )
             state.credit_due_bytes = 0
-        if state is not None and state.paused:
+        if state is None:
+            return
+        state.last_progress_s = self.clock()
+        if state.paused:
             self._deliver_events(event.connection, state)
+        self.count_connection(event.connection, state)
 
     def on_closed(self, event):
-        state = self.states.pop(event.connection, None)
-        if state is not None and state.exchange:
-            del self.number_by_exchange[state.exchange]
-            self.send_message(self.consumer, CallerDisconnected(state.exchange))
+        self.release_connection(event.connection)
 
     # Requests ------------------------------------------------------------
 
-    def _parse(self, state, data):
-        try:
-            events = state.parser.feed(data)
-        except HttpError as error:
-            events = state.parser.take_events()
-            state.parse_error = error
-        state.pending_events.extend(events)
-        state.pending_bytes += count_body_bytes(events)
-        in_head = state.parser.in_head and state.parser.head_bytes > 0
-        if not in_head:
+    def _parse(self, state):
+        """Parse received bytes, and keep the rest while too many events wait."""
+        parser, data, start = state.parser, state.unparsed, 0
+        while start < len(data) and not state.parse_error:
+            if len(state.pending_events) > self.limits.max_pending_events:
+                break
+            try:
+                events = parser.feed(data[start : start + PARSE_BYTES])
+            except HttpError as error:
+                events = parser.take_events()
+                # Without the traceback, whose frames hold what has been received.
+                state.parse_error = HttpError(error.status, str(error))
+            start += PARSE_BYTES
+            state.pending_events.extend(events)
+            state.pending_bytes += count_event_bytes(events)
+        state.unparsed = b"" if state.parse_error else data[start:]
+        if not parser.head_started:
             state.head_started_s = None
         elif state.head_started_s is None:
             state.head_started_s = self.clock()
@@ -149,6 +155,8 @@
                 self._start_request(number, state, state.pending_events.popleft())
             else:
                 self._deliver_body(state)
+            if state.unparsed:
+                self._parse(state)
         if state.parse_error and not state.pending_events and number in self.states:
             self._handle_parse_error(number, state)
         elif number in self.states:
@@ -158,16 +166,21 @@
         state.exchange = next(self.exchange_numbers)
         self.number_by_exchange[state.exchange] = number
         state.request_head = parsed_head.head
+        state.head_bytes = parsed_head.memory_bytes
+        state.pending_bytes -= parsed_head.memory_bytes
+        state.buffered_bytes = 0
+        state.held_response_bytes = 0
+        state.last_progress_s = self.clock()
         state.response_started = False
         state.close_after_response = not parsed_head.keep_alive
         state.receiving = True
         body, ended = self._collect_body(state)
-        if parsed_head.expects_continue and not ended and not body:
-            self.write(number, CONTINUE)
         request = RequestStart(
             state.exchange, state.host, parsed_head.head, body, ended
         )
         self.send_message(self.consumer, request)
+        if parsed_head.expects_continue and not ended and not body:
+            self.write(number, CONTINUE)  # may close the connection
 
     def _collect_body(self, state):
         """Return the pending bytes of a body, and whether the body ends with them."""
@@ -215,7 +228,19 @@
             return
         state = self.states[number]
         state.unconsumed_bytes = max(0, state.unconsumed_bytes - credit.size_bytes)
+        if credit.buffered:
+            state.buffered_bytes += credit.size_bytes
+        else:
+            state.buffered_bytes = 0
         self._adjust_reading(number, state)
+        self.count_connection(number, state)
+
+    def handle_response_held(self, held):
+        """Count a response that the consumer holds."""
+        number = self.number_by_exchange.get(held.exchange)
+        if number is not None:
+            self.states[number].held_response_bytes = held.size_bytes
+            self.count_connection(number, self.states[number])
 
     def _handle_eof(self, number, state):
         """Handle a half-closed connection; its caller may still wait for responses."""
@@ -233,25 +258,9 @@
         if state.exchange and not state.receiving:
             return
         error = state.parse_error
-        headers = ((OUTCOME_HEADER, Outcome.NOT_RUN.value.encode()),)
-        if state.exchange:
-            headers = ()
+        headers = () if state.exchange else NOT_RUN_HEADERS
         self._send_error(number, error.status, str(error), headers)
 
-    def _send_error(self, number, status, text, headers=()):
-        """Send an error response of the HTTP layer and close the connection."""
-        head, body = build_text_response(status, text, headers)
-        self.write(number, encode_response_head(head, close=True) + body)
-        self._end_connection(number)
-
-    def _end_connection(self, number):
-        """Close a connection whose caller may still be sending."""
-        state = self.states.pop(number, None)
-        if state is not None and state.exchange:
-            del self.number_by_exchange[state.exchange]
-            self.send_message(self.consumer, CallerDisconnected(state.exchange))
-        self.close_lingering(number)
-
     # Responses -----------------------------------------------------------
 
     def handle_response_start(self, response):
@@ -261,6 +270,7 @@
             return
         state = self.states[number]
         state.response_started = True
+        state.held_response_bytes = 0
         head = response.head
         without_body = head.status in (204, 304) or state.request_head.method == "HEAD"
         has_length = any(name.lower() == b"content-length" for name, _ in head.headers)
@@ -288,6 +298,7 @@
         self._write_response(number, state, data, body, response.ended)
         if response.ended:
             self._end_response(number, state)
+        self.count_connection(number, state)
 
     def handle_response_body(self, response):
         """Write more of a response body."""
@@ -299,6 +310,7 @@
         self._write_response(number, state, b"", body, response.ended)
         if response.ended:
             self._end_response(number, state)
+        self.count_connection(number, state)
 
     def _write_response(self, number, state, head, body, ended):
         encoded_body = encode_chunk(body, state.chunked) if body else b""
@@ -321,6 +333,7 @@
             return
         del self.number_by_exchange[state.exchange]
         state.exchange = 0
+        state.request_head = None
         state.credit_due_bytes = 0
         state.unconsumed_bytes = 0
         state.last_activity_s = self.clock()
@@ -348,48 +361,3 @@
         number = self.number_by_exchange.get(abort.exchange)
         if number is not None:
             self.abort(number)
-
-    # Timeouts ------------------------------------------------------------
-
-    def handle_tick(self, tick):
-        """Close connections that are idle or slow to send their request."""
-        self.drop_lingering(tick.now_s)
-        for number, state in list(self.states.items()):
-            self._check_timeouts(number, state, tick.now_s)
-
-    def _check_timeouts(self, number, state, now):
-        unsent_bytes = self.unsent_bytes(number)
-        if unsent_bytes < state.unsent_seen_bytes:
-            state.last_activity_s = now
-        state.unsent_seen_bytes = unsent_bytes
-        inactive_s = now - state.last_activity_s
-        if state.head_started_s is not None and not state.exchange:
-            if now - state.head_started_s > self.limits.head_timeout_s:
-                self._time_out_head(number)
-        elif state.receiving and not state.paused:
-            if inactive_s > self.limits.body_timeout_s:
-                self._time_out_body(number, state)
-        elif not state.exchange and inactive_s > self.limits.idle_timeout_s:
-            self._close_idle(number, unsent_bytes)
-
-    def _close_idle(self, number, unsent_bytes):
-        """Close a connection whose caller neither sends nor reads."""
-        if unsent_bytes:
-            self.abort(number)
-        else:
-            self.close(number)
-
-    def _time_out_head(self, number):
-        headers = ((OUTCOME_HEADER, Outcome.NOT_RUN.value.encode()),)
-        self._send_error(number, 408, "the request head took too long", headers)
-
-    def _time_out_body(self, number, state):
-        if state.response_started:
-            self.abort(number)
-            return
-        self._send_error(number, 408, "the request body took too long")
-
-
-def count_body_bytes(events):
-    """Return the number of body bytes in parsed events."""
-    return sum(len(event.data) for event in events if isinstance(event, BodyData))
--- a/comfreyusher/http/_server_connection.py
+++ b/comfreyusher/http/_server_connection.py
@@ -2,8 +2,20 @@
 
 import collections
 import dataclasses
+import sys
 
-from comfreyusher.http._parse import RequestParser
+from comfreyusher.http._memory_budget import (
+    CONNECTION_BYTES,
+    REQUEST_BYTES,
+    Holding,
+)
+from comfreyusher.http._parse import BodyData, ParsedHead, RequestParser
+
+EVENT_BYTES = 128
+# A buffered body is held by the entry task, and a copy on its way to an upstream.
+BODY_COPIES = 2
+# Fewer bytes than these are no progress of a body or of a response.
+MIN_PROGRESS_BYTES = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,7 +28,8 @@
     ``window_bytes`` of a body are not consumed, or of responses not read by the
     caller. With ``abort_on_half_close`` a
     caller that closes its sending side while it waits is treated as disconnected;
-    otherwise it can still read its response.
+    otherwise it can still read its response. ``max_held_bytes`` bounds the memory
+    held for all callers, ``max_unfinished_requests`` the requests being received.
     """
 
     max_head_bytes: int = 32768
@@ -27,29 +40,39 @@
     window_bytes: int = 262144
     max_pending_events: int = 64
     abort_on_half_close: bool = False
+    max_held_bytes: int = sys.maxsize
+    max_unfinished_requests: int = sys.maxsize
 
 
 class ServerConnection:
     """State of one caller's connection.
 
     ``exchange`` is the number of the request in progress, or 0; ``receiving`` tells
-    that its body is not complete. ``pending_events`` are parsed events that are not
-    delivered yet, ``pending_bytes`` the body bytes among them. ``unconsumed_bytes``
-    are request bytes that the consumer has not consumed yet, ``credit_due_bytes``
+    that its body is not complete. ``unparsed`` are bytes that are parsed once few
+    events are pending. ``pending_events`` are parsed events that are not
+    delivered yet, ``pending_bytes`` the memory of the bodies and heads among them.
+    ``head_bytes`` is the memory of the head of the request in progress,
+    ``unconsumed_bytes`` are request bytes that the consumer has not consumed yet,
+    ``buffered_bytes`` those that it keeps in a buffer, ``held_response_bytes`` a
+    response that it cannot send yet, ``credit_due_bytes``
     written response bytes for which the consumer has no credit yet.
     ``unsent_seen_bytes`` are the response bytes that the caller had not read at the
-    last sweep.
+    last sweep. ``progress_bytes`` are those received since ``last_progress_s``.
     """
 
     def __init__(self, host, limits, now):
         self.host = host
         self.parser = RequestParser(limits.max_head_bytes, limits.max_body_bytes)
+        self.unparsed = b""
         self.pending_events = collections.deque()
         self.pending_bytes = 0
         self.exchange = 0
         self.request_head = None
+        self.head_bytes = 0
         self.receiving = False
         self.unconsumed_bytes = 0
+        self.buffered_bytes = 0
+        self.held_response_bytes = 0
         self.paused = False
         self.response_started = False
         self.chunked = False
@@ -59,4 +82,66 @@
         self.eof_received = False
         self.parse_error = None
         self.last_activity_s = now
+        self.last_progress_s = now
+        self.progress_bytes = 0
         self.head_started_s = None
+
+    @property
+    def unfinished(self):
+        """Whether a request is being received."""
+        return (
+            self.receiving or self.head_started_s is not None or not self.parser.in_head
+        )
+
+    def count_progress(self, size_bytes, now):
+        """Record bytes received, or sent to a caller that reads them."""
+        self.progress_bytes += size_bytes
+        if self.progress_bytes >= MIN_PROGRESS_BYTES:
+            self.last_progress_s = now
+            self.progress_bytes = 0
+
+    def count_held_bytes(self, unsent_bytes):
+        """Return the memory held for this connection in all tasks."""
+        held_bytes = (
+            CONNECTION_BYTES
+            + unsent_bytes
+            + self.unconsumed_bytes
+            + self.pending_bytes
+            + len(self.unparsed)
+        )
+        if self.pending_events:
+            held_bytes += EVENT_BYTES * len(self.pending_events)
+        if self.unfinished:
+            held_bytes += self.parser.held_bytes
+        if self.exchange:
+            held_bytes += REQUEST_BYTES + self.head_bytes + self.held_response_bytes
+            held_bytes += BODY_COPIES * self.buffered_bytes
+        return held_bytes
+
+    def build_holding(self, number, held_bytes, slow_reader, now):
+        """Return the holding by which the memory budget chooses connections.
+
+        A ``slow_reader`` has left a whole window of responses unread. The upstream of
+        its response is not at work: flow control makes it wait for the caller. A body
+        whose reading is paused does not wait for its caller.
+        """
+        passed_on = bool(self.exchange) and not self.receiving
+        held_up = self.receiving and self.paused
+        return Holding(
+            number,
+            held_bytes,
+            0.0 if held_up else now - self.last_progress_s,
+            self.unfinished,
+            passed_on and not (self.response_started and slow_reader),
+        )
+
+
+def count_event_bytes(events):
+    """Return the memory of the bodies and heads in parsed events."""
+    size_bytes = 0
+    for event in events:
+        if isinstance(event, ParsedHead):
+            size_bytes += event.memory_bytes
+        elif isinstance(event, BodyData):
+            size_bytes += len(event.data)
+    return size_bytes
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -15,6 +15,7 @@
 from comfreyusher.messages._departures import DepartureNotice
 from comfreyusher.messages._exchange import (
     CallerDisconnected,
+    CallerMemory,
     ClientInterimResponse,
     ClientRequestBody,
     ClientRequestCancel,
@@ -31,6 +32,7 @@
     ResponseAbort,
     ResponseBody,
     ResponseCredit,
+    ResponseHeld,
     ResponseStart,
 )
 from comfreyusher.messages._feeds import (
@@ -63,9 +65,12 @@
     Verdict,
 )
 from comfreyusher.messages._heads import (
+    PackedHeaders,
     RequestHead,
     ResponseHead,
     find_header,
+    pack_headers,
+    replace_headers,
 )
 from comfreyusher.messages._outcome import (
     Outcome,
@@ -78,12 +83,11 @@
 )
 
 __all__ = [
-    "NOT_RUN_VERDICTS",
-    "UNKNOWN_LIMIT",
     "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
     "CallerDisconnected",
+    "CallerMemory",
     "ClientInterimResponse",
     "ClientRequestBody",
     "ClientRequestCancel",
@@ -106,9 +110,11 @@
     "InterimResponse",
     "MemberRecord",
     "MemberStanding",
+    "NOT_RUN_VERDICTS",
     "OffsetRequest",
     "OffsetUpdate",
     "Outcome",
+    "PackedHeaders",
     "PeerDisconnected",
     "QuarantineNotice",
     "QueuedAck",
@@ -124,15 +130,19 @@
     "ResponseBody",
     "ResponseCredit",
     "ResponseHead",
+    "ResponseHeld",
     "ResponseStart",
     "SnapshotRequest",
     "SnapshotResponse",
     "ToHostPort",
     "ToNode",
     "TopicWatermark",
+    "UNKNOWN_LIMIT",
     "UpstreamDelta",
     "UpstreamLoad",
     "Verdict",
     "WorkClass",
     "find_header",
+    "pack_headers",
+    "replace_headers",
 ]
--- a/comfreyusher/messages/_exchange.py
+++ b/comfreyusher/messages/_exchange.py
@@ -38,7 +38,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestCredit:
-    """Flow-control credit: the user of a server task consumed request bytes."""
+    """Flow-control credit: the user of a server task consumed request bytes.
+
+    ``buffered`` tells that the user still holds all that it has got of the body.
+    """
+
+    exchange: int
+    size_bytes: int
+    buffered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHeld:
+    """The user of a server task holds a complete response that it cannot send yet."""
 
     exchange: int
     size_bytes: int
@@ -93,6 +105,15 @@
     exchange: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerMemory:
+    """What a server task holds for callers, and how many of them it had to close."""
+
+    held_bytes: int = 0
+    unfinished: int = 0
+    closed: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseCredit:
     """Flow-control credit: the caller's socket took response body bytes."""
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -73,6 +73,7 @@
         "entry",
         poller,
         _build_http_limits(settings.callers),
+        memory_channel="telemetry",
         tls_server=_build_server_context(settings.callers.tls),
     )
     datagrams = _build_datagram_task(settings, own, peer_keys, poller)
@@ -208,6 +209,8 @@
         body_timeout_s=callers.body_timeout_s,
         idle_timeout_s=callers.idle_timeout_s,
         abort_on_half_close=callers.half_close is HalfCloseMode.LEFT,
+        max_held_bytes=callers.max_held_bytes,
+        max_unfinished_requests=callers.max_unfinished_requests,
     )
 
 
--- a/comfreyusher/platform/_headers.py
+++ b/comfreyusher/platform/_headers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from comfreyusher.messages import RequestHead
+from comfreyusher.messages import RequestHead, replace_headers
 
 REQUEST_ID_HEADER = b"X-Request-Id"
 DEADLINE_HEADER = b"X-Deadline-Ms"
@@ -49,13 +49,13 @@
     The head names the upstream, so that another upstream that uses the same address
     by now refuses the request. The remaining time to send is at least 1 ms.
     """
-    kept = tuple(pair for pair in head.headers if pair[0].lower() not in ADDED_HEADERS)
     added = (
         (REQUEST_ID_HEADER, request_id.encode("latin-1")),
         (DEADLINE_HEADER, b"%d" % max(1, remaining_ms)),
         (EXPECT_INSTANCE_HEADER, upstream.encode("latin-1")),
     )
-    return RequestHead(head.method, head.target, kept + added, head.version)
+    headers = replace_headers(head.headers, ADDED_HEADERS, added)
+    return RequestHead(head.method, head.target, headers, head.version)
 
 
 def build_request_id_headers(request_id):
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -20,6 +20,8 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor
 from opentelemetry.trace import SpanContext, SpanKind, TraceFlags
 
+from comfreyusher.messages import CallerMemory
+
 NANOSECONDS_PER_SECOND = 1_000_000_000
 MILLISECONDS_PER_SECOND = 1000
 
@@ -81,6 +83,33 @@
             "Headers of responses whose value was ignored, by upstream and name.",
         )
 
+        self.caller_memory = CallerMemory()
+        self._create_memory_instruments(meter)
+
+    def _create_memory_instruments(self, meter):
+        meter.create_observable_gauge(
+            "comfreyusher.callers.held",
+            [lambda _: [Observation(self.caller_memory.held_bytes)]],
+            "By",
+            "Memory held for callers.",
+        )
+        meter.create_observable_gauge(
+            "comfreyusher.callers.unfinished",
+            [lambda _: [Observation(self.caller_memory.unfinished)]],
+            "1",
+            "Requests that are being received.",
+        )
+        meter.create_observable_counter(
+            "comfreyusher.callers.closed",
+            [lambda _: [Observation(self.caller_memory.closed)]],
+            "1",
+            "Connections closed since callers held too much.",
+        )
+
+    def record_caller_memory(self, memory):
+        """Record what is held for callers."""
+        self.caller_memory = memory
+
     def record_request(self, request):
         """Count a request and record its duration."""
         labels = RequestLabels(request.service, request.outcome, request.status)
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -5,6 +5,7 @@
 import time
 
 from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.messages import CallerMemory
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
     GrantDenied,
@@ -55,6 +56,7 @@
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
+            CallerMemory: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -87,6 +89,7 @@
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
+            CallerMemory: self.meters.record_caller_memory,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
