--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -15,6 +15,7 @@
 from comfreyusher.messages._departures import DepartureNotice
 from comfreyusher.messages._exchange import (
     CallerDisconnected,
+    CallerMemory,
     ClientInterimResponse,
     ClientRequestBody,
     ClientRequestCancel,
@@ -31,6 +32,7 @@
     ResponseAbort,
     ResponseBody,
     ResponseCredit,
+    ResponseHeld,
     ResponseStart,
 )
 from comfreyusher.messages._feeds import (
@@ -63,9 +65,12 @@
     Verdict,
 )
 from comfreyusher.messages._heads import (
+    PackedHeaders,
     RequestHead,
     ResponseHead,
     find_header,
+    pack_headers,
+    replace_headers,
 )
 from comfreyusher.messages._outcome import (
     Outcome,
@@ -83,13 +88,12 @@
 )
 
 __all__ = [
-    "NOT_RUN_VERDICTS",
-    "UNKNOWN_LIMIT",
     "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
     "BucketHandover",
     "CallerDisconnected",
+    "CallerMemory",
     "ClientInterimResponse",
     "ClientRequestBody",
     "ClientRequestCancel",
@@ -112,9 +116,11 @@
     "InterimResponse",
     "MemberRecord",
     "MemberStanding",
+    "NOT_RUN_VERDICTS",
     "OffsetRequest",
     "OffsetUpdate",
     "Outcome",
+    "PackedHeaders",
     "PeerDisconnected",
     "QuarantineNotice",
     "QueuedAck",
@@ -130,6 +136,7 @@
     "ResponseBody",
     "ResponseCredit",
     "ResponseHead",
+    "ResponseHeld",
     "ResponseStart",
     "SnapshotRequest",
     "SnapshotResponse",
@@ -138,9 +145,12 @@
     "TokenGrant",
     "TokenRequest",
     "TopicWatermark",
+    "UNKNOWN_LIMIT",
     "UpstreamDelta",
     "UpstreamLoad",
     "Verdict",
     "WorkClass",
     "find_header",
+    "pack_headers",
+    "replace_headers",
 ]
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -1,7 +1,9 @@
 """Builds the tasks of a node from its settings."""
 
 import dataclasses
+import resource
 import ssl
+import sys
 import time
 
 from comfreyusher.accounts import AccountTask
@@ -38,6 +40,7 @@
 from comfreyusher.web import PageTask, build_metrics_page, build_readiness_page
 
 MILLISECONDS_PER_SECOND = 1000
+CALLERS_SHARE_OF_DESCRIPTORS = 0.6
 PAGE_IDLE_TIMEOUT_S = 86400.0
 
 
@@ -83,6 +86,7 @@
         "entry",
         poller,
         _build_http_limits(settings.callers),
+        memory_channel="telemetry",
         tls_server=_build_server_context(settings.callers.tls),
     )
     datagrams = _build_datagram_task(settings, own, peer_keys, poller)
@@ -203,9 +207,23 @@
         body_timeout_s=callers.body_timeout_s,
         idle_timeout_s=callers.idle_timeout_s,
         abort_on_half_close=callers.half_close is HalfCloseMode.LEFT,
+        max_held_bytes=callers.max_held_bytes,
+        max_unfinished_requests=callers.max_unfinished_requests,
+        max_connections=_count_caller_descriptors(),
     )
 
 
+def _count_caller_descriptors():
+    """Return how many descriptors callers may take.
+
+    The others are left for upstreams, nodes, the store and operators.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(limit * CALLERS_SHARE_OF_DESCRIPTORS)
+
+
 def _build_server_context(tls):
     if tls.mode is TlsMode.OFF:
         return None
--- a/comfreyusher/platform/_headers.py
+++ b/comfreyusher/platform/_headers.py
@@ -3,7 +3,12 @@
 import dataclasses
 import re
 
-from comfreyusher.messages import RequestHead
+from comfreyusher.messages import (
+    PackedHeaders,
+    RequestHead,
+    pack_headers,
+    replace_headers,
+)
 
 REQUEST_ID_HEADER = b"X-Request-Id"
 DEADLINE_HEADER = b"X-Deadline-Ms"
@@ -76,24 +81,26 @@
     ``account`` is the name of the client account, empty for none, or ``None`` without
     client accounts in the configuration: then the caller's headers pass unchanged.
     """
-    kept = tuple(pair for pair in head.headers if pair[0].lower() not in ADDED_HEADERS)
     added = (
         (REQUEST_ID_HEADER, request_id.encode("latin-1")),
         (DEADLINE_HEADER, b"%d" % max(1, remaining_ms)),
         (EXPECT_INSTANCE_HEADER, upstream.encode("latin-1")),
     )
+    headers = head.headers
     if account is not None:
-        kept = _remove_account_headers(kept)
+        headers = _remove_account_headers(headers)
     if account:
         added += ((ACCOUNT_HEADER, account.encode()),)
-    return RequestHead(head.method, head.target, kept + added, head.version)
+    headers = replace_headers(headers, ADDED_HEADERS, added)
+    return RequestHead(head.method, head.target, headers, head.version)
 
 
 def _remove_account_headers(headers):
     """Return the headers without keys, and without what the caller says of accounts.
 
     Some servers take ``_`` in a name for ``-``, so such names are removed as well. A
-    caller's ``Connection`` must not mark the fleet's own headers for removal.
+    caller's ``Connection`` must not mark the fleet's own headers for removal. Packed
+    headers stay packed.
     """
     kept = []
     for name, value in headers:
@@ -105,6 +112,8 @@
         if lower == CONNECTION_NAME:
             value = _remove_own_names(value)
         kept.append((name, value))
+    if isinstance(headers, PackedHeaders):
+        return PackedHeaders(pack_headers(kept))
     return tuple(kept)
 
 
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -20,6 +20,8 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor
 from opentelemetry.trace import SpanContext, SpanKind, TraceFlags
 
+from comfreyusher.messages import CallerMemory
+
 NANOSECONDS_PER_SECOND = 1_000_000_000
 MILLISECONDS_PER_SECOND = 1000
 
@@ -74,7 +76,6 @@
         self.denials = meter.create_counter(
             "comfreyusher.denials", "1", "Attempts without an upstream by reason."
         )
-
         self.unreadable = meter.create_counter(
             "comfreyusher.unreadable_headers",
             "1",
@@ -93,7 +94,6 @@
             "1",
             "Records written again after the store was restored, by topic.",
         )
-
         self.tokens = meter.create_counter(
             "comfreyusher.tokens", "1", "Tokens of client accounts by decision."
         )
@@ -104,6 +104,8 @@
             "1",
             "Tokens in the buckets that lent most, by client account.",
         )
+        self.caller_memory = CallerMemory()
+        self._create_memory_instruments(meter)
 
     def record_tokens(self, measured):
         """Count tokens by decision, and keep the levels of the buckets."""
@@ -118,6 +120,30 @@
             for level in self.bucket_levels
         ]
 
+    def _create_memory_instruments(self, meter):
+        meter.create_observable_gauge(
+            "comfreyusher.callers.held",
+            [lambda _: [Observation(self.caller_memory.held_bytes)]],
+            "By",
+            "Memory held for callers.",
+        )
+        meter.create_observable_gauge(
+            "comfreyusher.callers.unfinished",
+            [lambda _: [Observation(self.caller_memory.unfinished)]],
+            "1",
+            "Requests that are being received.",
+        )
+        meter.create_observable_counter(
+            "comfreyusher.callers.closed",
+            [lambda _: [Observation(self.caller_memory.closed)]],
+            "1",
+            "Connections closed since callers held too much.",
+        )
+
+    def record_caller_memory(self, memory):
+        """Record what is held for callers."""
+        self.caller_memory = memory
+
     def record_request(self, request):
         """Count a request and record its duration."""
         labels = RequestLabels(request.service, request.outcome, request.status)
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -5,6 +5,7 @@
 import time
 
 from comfreyusher.flow import Subscribe, Task, Tick
+from comfreyusher.messages import CallerMemory
 from comfreyusher.platform import EraChanged
 from comfreyusher.telemetry._messages import (
     AttemptEnded,
@@ -63,6 +64,7 @@
             RecordsRepublished: self.handle_measurement,
             EraChanged: self.handle_measurement,
             TokensMeasured: self.handle_measurement,
+            CallerMemory: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
         }
@@ -99,6 +101,7 @@
             RecordsRepublished: self.meters.count_republished,
             EraChanged: self.meters.record_era,
             TokensMeasured: self.meters.record_tokens,
+            CallerMemory: self.meters.record_caller_memory,
             SpanEnded: self.meters.export_span,
         }
         recorders[type(message)](message)
