--- a/comfreyusher/owner/_arrivals.py
+++ b/comfreyusher/owner/_arrivals.py
@@ -20,13 +20,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrivals:
-    """Requests admitted in the last seconds, by priority; ``short`` only short ones."""
+    """Requests admitted in the last seconds, by priority; ``short`` only short ones.
+
+    ``light`` are the short ones, by priority, of accounts that had little queued; they
+    are counted with fair sharing only.
+    """
 
     by_priority: immutables.Map = immutables.Map()
     short: SlidingWindow = EMPTY_WINDOW
+    light: immutables.Map = immutables.Map()
 
 
-def record_arrival(arrivals, request, now):
+def record_arrival(arrivals, request, now, light=False):
     """Return the arrivals with one more admitted request."""
     window = count_event(
         arrivals.by_priority.get(request.priority, EMPTY_WINDOW), marked=False, now=now
@@ -36,6 +41,10 @@
     )
     if request.work_class is WorkClass.LONG:
         return arrivals
+    if light:
+        window = arrivals.light.get(request.priority, EMPTY_WINDOW)
+        window = count_event(window, marked=False, now=now)
+        arrivals = replace(arrivals, light=arrivals.light.set(request.priority, window))
     return replace(arrivals, short=count_event(arrivals.short, marked=False, now=now))
 
 
@@ -48,6 +57,12 @@
     return arrived / ARRIVALS_SPAN_S
 
 
+def light_rate(arrivals, priority, now):
+    """Return the rate per second of short requests of accounts with little queued."""
+    window = arrivals.light.get(priority)
+    return count_totals(window, now)[0] / ARRIVALS_SPAN_S if window else 0.0
+
+
 def steady_short_rate(arrivals, now):
     """Return the steady arrival rate per second of short requests.
 
--- /dev/null
+++ b/comfreyusher/owner/_fair_queue.py
@@ -0,0 +1,314 @@
+"""The queue of a group with fair sharing: ranks, accounts, routes, deadlines.
+
+Ranks are strict. Within a rank the client accounts share, within an account its
+routes, and the attempts of one flow, an account and a route, go by the earliest
+deadline. Work is counted in whole milliseconds, for short and long requests apart,
+since they have different numbers of slots.
+"""
+
+import bisect
+import dataclasses
+
+import immutables
+
+from comfreyusher.flow import replace
+from comfreyusher.messages import WorkClass
+from comfreyusher.owner._fair_share import (
+    EMPTY_LEVEL,
+    NO_BACKLOGS,
+    ShareLevel,
+    charge_party,
+    correct_charge,
+    find_turn,
+    join_level,
+    leave_level,
+    replace_backlog,
+    sum_capped,
+)
+
+NO_WORK = (0, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class QueuePosition:
+    """Position of a queued attempt; the smallest goes first."""
+
+    priority: int
+    deadline_s: float
+    queued_s: float
+    key: object = dataclasses.field(compare=False)
+
+
+def position_of(attempt):
+    """Return the queue position of an attempt."""
+    request = attempt.request
+    return QueuePosition(
+        request.priority, attempt.deadline_s, attempt.queued_s, request.key
+    )
+
+
+def insert_position(positions, position):
+    """Return the sorted positions with one more."""
+    index = bisect.bisect(positions, position)
+    return positions[:index] + (position,) + positions[index:]
+
+
+def remove_position(positions, position):
+    """Return the sorted positions without one."""
+    index = bisect.bisect_left(positions, position)
+    for other_index in range(index, len(positions)):
+        if positions[other_index].key == position.key:
+            return positions[:other_index] + positions[other_index + 1 :]
+    return positions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowQueue:
+    """The queued attempts of one account and route, and their work."""
+
+    positions: tuple = ()
+    work_ms: int = 0
+    long: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountQueue:
+    """The flows of an account in one rank; ``work_ms`` of its short and long ones."""
+
+    level: ShareLevel = EMPTY_LEVEL
+    flows: immutables.Map = immutables.Map()
+    work_ms: tuple = NO_WORK
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankQueue:
+    """The accounts of one rank; ``backlogs`` of their short and long work."""
+
+    level: ShareLevel = EMPTY_LEVEL
+    accounts: immutables.Map = immutables.Map()
+    work_ms: tuple = NO_WORK
+    backlogs: tuple = (NO_BACKLOGS, NO_BACKLOGS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FairQueue:
+    """The ranks that have something queued; ``order`` are their sorted numbers."""
+
+    ranks: immutables.Map = immutables.Map()
+    order: tuple = ()
+    count: int = 0
+    long_count: int = 0
+
+    def __len__(self):
+        return self.count
+
+    def __iter__(self):
+        for _, flow in iterate_flows(self):
+            yield from flow.positions
+
+
+EMPTY_FLOW, EMPTY_ACCOUNT, EMPTY_RANK = FlowQueue(), AccountQueue(), RankQueue()
+EMPTY_QUEUE = FairQueue()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkAhead:
+    """Work that is served before an attempt, in milliseconds.
+
+    ``own_ms`` is that of its own account, ``others_ms`` that of other accounts of its
+    rank, ``urgent_ms`` that of more urgent ranks. ``accounts`` is how many accounts
+    share the rank, its own included.
+    """
+
+    own_ms: float
+    others_ms: float
+    urgent_ms: float
+    accounts: int
+
+    @property
+    def total_ms(self):
+        """All the work that is served before the attempt."""
+        return self.own_ms + self.others_ms + self.urgent_ms
+
+
+def iterate_flows(queue):
+    """Yield the flows in the order of their turns: ``((rank, account, route), flow)``.
+
+    It is the order of their next attempts; each grant changes it.
+    """
+    for number in queue.order:
+        rank = queue.ranks[number]
+        for turn in rank.level.order:
+            account = rank.accounts[turn.party]
+            for route_turn in account.level.order:
+                route = route_turn.party
+                yield (number, turn.party, route), account.flows[route]
+
+
+def insert_attempt(queue, attempt):
+    """Return the queue with one more attempt."""
+    request = attempt.request
+    number, name, route = flow_of(request)
+    rank = queue.ranks.get(number, EMPTY_RANK)
+    account = rank.accounts.get(name, EMPTY_ACCOUNT)
+    flow = account.flows.get(route, EMPTY_FLOW)
+    level, account_level = rank.level, account.level
+    if not account.flows:
+        level = join_level(level, name)
+    if not flow.positions:
+        account_level = join_level(account_level, route)
+    long = request.work_class is WorkClass.LONG
+    flow = FlowQueue(
+        insert_position(flow.positions, position_of(attempt)),
+        flow.work_ms + attempt.cost_ms,
+        long,
+    )
+    account = replace(
+        account, level=account_level, flows=account.flows.set(route, flow)
+    )
+    rank = _add_work(replace(rank, level=level), name, account, long, attempt.cost_ms)
+    return _set_rank(queue, number, rank, 1, long)
+
+
+def remove_attempt(queue, attempt):
+    """Return the queue without an attempt, which it holds."""
+    request = attempt.request
+    number, name, route = flow_of(request)
+    rank = queue.ranks[number]
+    account = rank.accounts[name]
+    flow = account.flows[route]
+    flow = replace(
+        flow,
+        positions=remove_position(flow.positions, position_of(attempt)),
+        work_ms=flow.work_ms - attempt.cost_ms,
+    )
+    if flow.positions:
+        account = replace(account, flows=account.flows.set(route, flow))
+    else:
+        account = replace(
+            account,
+            flows=account.flows.delete(route),
+            level=leave_level(account.level, route),
+        )
+    rank = _add_work(rank, name, account, flow.long, -attempt.cost_ms)
+    return _set_rank(queue, number, rank, -1, flow.long)
+
+
+def serve_attempt(queue, attempt):
+    """Return the queue after a queued attempt was granted a slot."""
+    queue = _change_levels(queue, attempt, charge_party, attempt.cost_ms)
+    return remove_attempt(queue, attempt)
+
+
+def correct_cost(queue, attempt, took_ms):
+    """Return the queue after a report told how long a served attempt took."""
+    number, name, _ = flow_of(attempt.request)
+    rank = queue.ranks.get(number)
+    if rank is None or name not in rank.level.turns:
+        return queue
+    return _change_levels(queue, attempt, correct_charge, took_ms - attempt.cost_ms)
+
+
+def flow_of(request):
+    """Return the rank, the client account and the route of a request."""
+    return request.priority, request.client_account, request.route_key
+
+
+def work_ahead(queue, attempt, index):
+    """Return the ``WorkAhead`` of an attempt with ``index`` of its flow before it.
+
+    The flows and accounts beside it are served as much as its own until its turn
+    comes, up to what they have queued, and one attempt if their turn is before.
+    """
+    number, name, route = flow_of(attempt.request)
+    long = attempt.request.work_class is WorkClass.LONG
+    urgent_ms = sum(
+        queue.ranks[other].work_ms[long] for other in queue.order if other < number
+    )
+    rank = queue.ranks.get(number, EMPTY_RANK)
+    account = rank.accounts.get(name, EMPTY_ACCOUNT)
+    flow = account.flows.get(route, EMPTY_FLOW)
+    flow_ms = flow.work_ms * index / len(flow.positions) if flow.positions else 0.0
+    turn = find_turn(account.level, route)
+    cap_ms = flow_ms + turn.start_ms - account.level.virtual_ms
+    own_ms = flow_ms
+    for other_turn in account.level.order:
+        other = account.flows[other_turn.party]
+        if other_turn.party != route and other.long == long:
+            one_ms = attempt.cost_ms if other_turn < turn else 0
+            own_ms += min(other.work_ms, max(cap_ms, one_ms))
+    turn = find_turn(rank.level, name)
+    cap_ms = max(0.0, own_ms + turn.start_ms - rank.level.virtual_ms)
+    backlogs, account_ms = rank.backlogs[long], account.work_ms[long]
+    others_ms = sum_capped(backlogs, cap_ms, account_ms)
+    if cap_ms < attempt.cost_ms and rank.level.order:
+        before = bisect.bisect_left(rank.level.order, turn) / len(rank.level.order)
+        one_each_ms = sum_capped(backlogs, attempt.cost_ms, account_ms)
+        others_ms = max(others_ms, before * one_each_ms)
+    accounts = len(rank.level.turns) + (name not in rank.level.turns)
+    return WorkAhead(own_ms, others_ms, urgent_ms, accounts)
+
+
+def count_flow_ahead(queue, attempt):
+    """Return how many attempts of its own flow are before an attempt."""
+    number, name, route = flow_of(attempt.request)
+    rank = queue.ranks.get(number, EMPTY_RANK)
+    flow = rank.accounts.get(name, EMPTY_ACCOUNT).flows.get(route, EMPTY_FLOW)
+    return bisect.bisect_left(flow.positions, position_of(attempt))
+
+
+def is_light(queue, request):
+    """Tell whether the account has queued less than half of the mean of its rank.
+
+    What such accounts send goes before the backlogs of the others.
+    """
+    rank = queue.ranks.get(request.priority)
+    if rank is None:
+        return False
+    queued_ms = sum(rank.accounts.get(request.client_account, EMPTY_ACCOUNT).work_ms)
+    return 2 * queued_ms * len(rank.accounts) < sum(rank.work_ms)
+
+
+def _add_work(rank, name, account, long, cost_ms):
+    """Return the rank with an account that has ``cost_ms`` more work queued."""
+    before_ms = account.work_ms[long]
+    account = replace(account, work_ms=_change_work(account.work_ms, long, cost_ms))
+    backlogs = list(rank.backlogs)
+    backlogs[long] = replace_backlog(backlogs[long], before_ms, account.work_ms[long])
+    level, accounts = rank.level, rank.accounts.set(name, account)
+    if not account.flows:
+        level, accounts = leave_level(level, name), rank.accounts.delete(name)
+    work_ms = _change_work(rank.work_ms, long, cost_ms)
+    return RankQueue(level, accounts, work_ms, tuple(backlogs))
+
+
+def _change_work(work_ms, long, cost_ms):
+    short_ms, long_ms = work_ms
+    return (short_ms, long_ms + cost_ms) if long else (short_ms + cost_ms, long_ms)
+
+
+def _set_rank(queue, number, rank, added, long):
+    """Return the queue with a rank replaced, or dropped if nothing is queued."""
+    ranks, order = queue.ranks, queue.order
+    if not rank.accounts:
+        ranks = ranks.delete(number)
+        order = tuple(other for other in order if other != number)
+    else:
+        order = order if number in ranks else tuple(sorted((*order, number)))
+        ranks = ranks.set(number, rank)
+    count, long_count = queue.count + added, queue.long_count + added * long
+    return FairQueue(ranks, order, count, long_count)
+
+
+def _change_levels(queue, attempt, change, work_ms):
+    """Return the queue with the turns of a flow and its account changed."""
+    number, name, route = flow_of(attempt.request)
+    rank = queue.ranks[number]
+    accounts = rank.accounts
+    account = accounts.get(name)
+    if account is not None and route in account.level.turns:
+        level = change(account.level, route, work_ms)
+        accounts = accounts.set(name, replace(account, level=level))
+    level = change(rank.level, name, work_ms)
+    rank = replace(rank, level=level, accounts=accounts)
+    return replace(queue, ranks=queue.ranks.set(number, rank))
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -14,17 +14,27 @@
     find_candidates,
     refresh_candidate,
 )
+from comfreyusher.owner._fair_queue import is_light, iterate_flows
 from comfreyusher.owner._handover_load import record_load
-from comfreyusher.owner._load_shedding import estimate_wait, is_too_late, retry_after_ms
+from comfreyusher.owner._load_shedding import estimate_wait, is_too_late
 from comfreyusher.owner._messages import to_entry_node
-from comfreyusher.owner._queue import count_queued_short, dequeue, enqueue
+from comfreyusher.owner._queue import (
+    count_queued_short,
+    dequeue,
+    dequeue_granted,
+    enqueue,
+    expected_cost_ms,
+)
 from comfreyusher.owner._rate_limit import limit_to_tell, take_token
 from comfreyusher.owner._refusals import refused_until_s
 from comfreyusher.owner._retry_budget import allows_retry, available_slack
+from comfreyusher.owner._return_times import plan_return
 from comfreyusher.owner._state import Attempt, replace_upstream
 from comfreyusher.owner._window import count_event
 
 MAX_SCANNED_POSITIONS = 64
+MAX_POSITIONS_OF_FLOW = 8
+MAX_VISITED_FLOWS = 64
 SECOND_OWNER_SLACK = 2
 FIRST_ATTEMPT = 1
 BUDGET_RETRY_AFTER_MS = 500
@@ -51,6 +61,7 @@
         now + request.remaining_ms / 1000,
         now + request.target_ms / 1000,
         queued_s=now,
+        cost_ms=expected_cost_ms(group, request) if group.plan.fair_sharing else 0,
     )
     step = ADMISSION_PIPE(group, Arrival(attempt, now))
     if step.ended:
@@ -129,15 +140,21 @@
     """Deny an attempt that would wait too long to be answered in time."""
     estimate = estimate_wait(group, arrival.attempt, arrival.now)
     if is_too_late(group, arrival.attempt, estimate, arrival.now):
-        wait_ms = retry_after_ms(estimate)
-        return deny(group, arrival.attempt, DenialReason.TOO_LATE, wait_ms)
+        return deny_too_late(group, arrival.attempt, estimate, arrival.now)
     return continue_pipe(group, arrival)
 
 
+def deny_too_late(group, attempt, estimate, now):
+    """End an attempt that cannot be answered in time, and tell when to come back."""
+    planned = plan_return(group, attempt, estimate, now)
+    return deny(planned.group, attempt, DenialReason.TOO_LATE, planned.retry_after_ms)
+
+
 def join_queue(group, arrival):
     """Add the attempt to the queue."""
     attempt = arrival.attempt
-    arrivals = record_arrival(group.arrivals, attempt.request, arrival.now)
+    light = group.plan.fair_sharing and is_light(group.queue, attempt.request)
+    arrivals = record_arrival(group.arrivals, attempt.request, arrival.now, light)
     group = replace(group, arrivals=arrivals)
     group = replace(
         enqueue(group, attempt),
@@ -195,6 +212,8 @@
     the scan goes on for a bounded number of positions. It skips attempts with the
     same requirements as one that has to wait, unless their target is earlier.
     """
+    if group.plan.fair_sharing:
+        return _grant_fairly(group, now)
     messages = ()
     candidate_set = find_candidates(group, now)
     refusing = group.refusals_until_s > now
@@ -221,6 +240,69 @@
     return end_pipe(group, None, *messages)
 
 
+def _grant_fairly(group, now):
+    """Grant free slots to the flows in turn.
+
+    Each grant changes the order of the flows, so the search for the next attempt
+    begins anew. Attempts found to wait are not looked at again.
+    """
+    messages = ()
+    candidate_set = find_candidates(group, now)
+    refusing = group.refusals_until_s > now
+    waiting = Waiting({}, set())
+    while candidate_set.has_free_slot():
+        found = _find_next(group, candidate_set, waiting, refusing, now)
+        if found is None:
+            break
+        attempt, choice = found
+        step = grant(group, attempt, choice, now)
+        group = step.state
+        candidate_set = refresh_candidate(
+            candidate_set, group, choice.upstream.name, now
+        )
+        messages += step.messages
+    return end_pipe(group, None, *messages)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """What one search for attempts has found to wait.
+
+    ``target_s`` maps ``Requirements`` to the earliest target that has to wait,
+    ``flows`` are the flows of which no attempt can be granted now.
+    """
+
+    target_s: dict
+    flows: set
+
+
+def _find_next(group, candidate_set, waiting, refusing, now):
+    """Return the next attempt that can be granted, and its choice, or ``None``.
+
+    A flow that has to wait holds up no other one: only its first positions are tried.
+    """
+    visited = 0
+    for name, flow in iterate_flows(group.queue):
+        if name in waiting.flows:
+            continue
+        for position in flow.positions[:MAX_POSITIONS_OF_FLOW]:
+            attempt = group.attempts[position.key]
+            if position.deadline_s <= now:
+                continue
+            requirements = requirements_of(group, attempt, refusing)
+            if attempt.target_s >= waiting.target_s.get(requirements, math.inf):
+                continue
+            choice = choose_upstream(group, attempt, candidate_set, now)
+            if choice is not None:
+                return attempt, choice
+            waiting.target_s[requirements] = attempt.target_s
+        waiting.flows.add(name)
+        visited += 1
+        if visited >= MAX_VISITED_FLOWS:
+            break
+    return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Requirements:
     """Attributes that decide, besides the target, whether an attempt has to wait."""
@@ -263,7 +345,7 @@
     if attempt.request.prior_sends:
         retry_budget = count_event(group.retry_budget, marked=True, now=now)
         group = replace(group, retry_budget=retry_budget)
-    group = dequeue(group, attempt)
+    group = dequeue_granted(group, attempt)
     upstream = choice.upstream
     attempt = replace(
         attempt,
--- a/comfreyusher/owner/_load_shedding.py
+++ b/comfreyusher/owner/_load_shedding.py
@@ -8,13 +8,19 @@
 
 import dataclasses
 
+from comfreyusher.flow import replace
 from comfreyusher.messages import WorkClass
-from comfreyusher.owner._arrivals import higher_priority_rate, steady_short_rate
+from comfreyusher.owner._arrivals import (
+    higher_priority_rate,
+    light_rate,
+    steady_short_rate,
+)
 from comfreyusher.owner._capacity import (
     DEFAULT_SERVICE_S,
     count_free_limited,
     count_usable_slots,
 )
+from comfreyusher.owner._fair_queue import WorkAhead, count_flow_ahead, work_ahead
 from comfreyusher.owner._handover_load import count_other_loads
 from comfreyusher.owner._queue import count_ahead, count_queued_short
 
@@ -23,14 +29,35 @@
 SERVICE_TIME_FACTOR = 1.2
 CERTAIN_WAIT_SHARE = 0.5
 MIN_RATE_SHARE = 0.05
+LATE_WAIT_SHARE = 0.5
+MOSTLY_URGENT_SHARE = 0.5
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitEstimate:
-    """Expected wait in the queue and service time, in seconds."""
+    """Expected wait in the queue and service time, in seconds.
+
+    With fair sharing ``work`` is what the wait is for, and ``mostly_urgent`` tells
+    that more urgent arrivals use most of the capacity.
+    """
 
     wait_s: float
     service_s: float
+    work: WorkAhead | None = None
+    mostly_urgent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ArrivalRates:
+    """Requests per second that will be served before a queued one.
+
+    ``urgent_per_s`` have a more urgent rank. ``light_per_s`` are of accounts of the
+    same rank that have little queued.
+    """
+
+    urgent_per_s: float
+    light_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,12 +100,23 @@
     )
 
 
+def arrival_rates(group, work_class, priority, now):
+    """Return the ``ArrivalRates`` for the attempts of a rank and a work class."""
+    urgent_per_s = higher_priority_rate(group.arrivals, priority, now)
+    if work_class is WorkClass.LONG:
+        return ArrivalRates(urgent_per_s)
+    return ArrivalRates(urgent_per_s, light_rate(group.arrivals, priority, now))
+
+
 def estimate_wait(group, attempt, now):
     """Return the expected wait of an attempt at its position in the queue."""
-    capacity = class_capacity(group, attempt.request.work_class, now)
-    higher_priority_per_s = higher_priority_rate(
-        group.arrivals, attempt.request.priority, now
-    )
+    request = attempt.request
+    capacity = class_capacity(group, request.work_class, now)
+    if group.plan.fair_sharing:
+        rates = arrival_rates(group, request.work_class, request.priority, now)
+        index = count_flow_ahead(group.queue, attempt)
+        return estimate_fair_wait(group, attempt, index, capacity, rates)
+    higher_priority_per_s = higher_priority_rate(group.arrivals, request.priority, now)
     return estimate_wait_behind(
         group, attempt, count_ahead(group, attempt), capacity, higher_priority_per_s
     )
@@ -103,23 +141,68 @@
     return WaitEstimate(wait_s, service_s)
 
 
+def estimate_fair_wait(group, attempt, index, capacity, rates):
+    """Return the expected wait of an attempt with ``index`` of its flow before it."""
+    work = work_ahead(group.queue, attempt, index)
+    before_per_s = rates.urgent_per_s
+    if work.own_ms:
+        before_per_s = overtaking_rate(capacity, work.accounts, rates)
+    ahead = work.total_ms / MILLISECONDS_PER_SECOND / capacity.mean_s
+    estimate = estimate_wait_behind(group, attempt, ahead, capacity, before_per_s)
+    urgent_slots = rates.urgent_per_s * capacity.mean_s
+    mostly_urgent = urgent_slots > capacity.slots * MOSTLY_URGENT_SHARE
+    return replace(estimate, work=work, mostly_urgent=mostly_urgent)
+
+
+def overtaking_rate(capacity, accounts, rates):
+    """Return the rate of arrivals that go before the backlog of an account.
+
+    These are the more urgent ones, and those of accounts with little queued, as far
+    as they leave the account its share. The first attempt of an account is not
+    overtaken by its own rank.
+    """
+    left_per_s = max(0.0, capacity.slots / capacity.mean_s - rates.urgent_per_s)
+    most_per_s = left_per_s * (1 - 1 / accounts)
+    return rates.urgent_per_s + min(rates.light_per_s, most_per_s)
+
+
+def longest_fair_wait_s(group, attempt, capacity, rates):
+    """Return a wait that no attempt exceeds of the same rank and work class."""
+    queue, request = group.queue, attempt.request
+    ranks = [queue.ranks[other] for other in queue.order if other <= request.priority]
+    work_ms = sum(rank.work_ms[group.is_long(attempt)] for rank in ranks)
+    ahead = work_ms / MILLISECONDS_PER_SECOND / capacity.mean_s
+    accounts = len(ranks[-1].level.turns)
+    before_per_s = overtaking_rate(capacity, accounts, rates)
+    return estimate_wait_behind(group, attempt, ahead, capacity, before_per_s).wait_s
+
+
 def is_too_late(group, attempt, estimate, now):
     """Tell whether an arriving attempt cannot be answered in time.
 
     An attempt that would miss its target even without a wait only has to meet its
-    deadline.
+    deadline. With fair sharing a part of the time from the target to the deadline
+    may be used for the wait.
     """
     if estimate.wait_s <= 0:
         return attempt.deadline_s <= now
     if estimate.wait_s > group.plan.profile.max_wait_ms / 1000:
         return True
     min_service_s = estimate.service_s * SERVICE_TIME_FACTOR
+    due_s = due_time_s(group, attempt, min_service_s, now)
+    return now + estimate.wait_s + min_service_s > due_s
+
+
+def due_time_s(group, attempt, min_service_s, now):
+    """Return until when an arriving attempt may be answered."""
     due_s = (
         attempt.target_s
         if now + min_service_s < attempt.target_s
         else attempt.deadline_s
     )
-    return now + estimate.wait_s + min_service_s > due_s
+    if group.plan.fair_sharing:
+        due_s += LATE_WAIT_SHARE * (attempt.deadline_s - due_s)
+    return due_s
 
 
 def will_miss_deadline(attempt, estimate, now):
--- a/comfreyusher/owner/_periodic_checks.py
+++ b/comfreyusher/owner/_periodic_checks.py
@@ -14,22 +14,18 @@
     return_to_service,
     stall_threshold_s,
 )
-from comfreyusher.messages import DenialReason, WorkClass
-from comfreyusher.owner._arrivals import higher_priority_rate
-from comfreyusher.owner._grants import deny, grant_queued
-from comfreyusher.owner._load_shedding import (
-    class_capacity,
-    estimate_wait_behind,
-    retry_after_ms,
-    will_miss_deadline,
-)
+from comfreyusher.messages import DenialReason
+from comfreyusher.owner._grants import deny, deny_too_late, grant_queued
+from comfreyusher.owner._late_queued import find_late_queued
 from comfreyusher.owner._load_spreading import (
     do_many_requests_fail,
     has_no_recent_trouble,
 )
 from comfreyusher.owner._messages import Ejected
 from comfreyusher.owner._poison_requests import expire_suspects
+from comfreyusher.owner._queue import rebuild_queue
 from comfreyusher.owner._reports import end_attempt
+from comfreyusher.owner._return_times import drop_past_returns
 from comfreyusher.owner._stalls import is_stall_due, record_stall
 from comfreyusher.owner._state import apply_plan, replace_upstream
 
@@ -50,7 +46,7 @@
 
 def handle_plan_changed(group, message, now):
     """Apply a new profile or new registered upstreams."""
-    return end_pipe(apply_plan(group, message.plan, now), None)
+    return end_pipe(rebuild_queue(apply_plan(group, message.plan, now)), None)
 
 
 # Filters of the pipe of periodic checks ---------------------------------------
@@ -88,44 +84,14 @@
 def deny_late_queued(group, now):
     """Deny queued attempts as soon as they cannot be answered in time."""
     messages = ()
-    for attempt, estimate in _find_late_queued(group, now):
-        wait_ms = retry_after_ms(estimate)
-        step = deny(group, attempt, DenialReason.TOO_LATE, wait_ms)
+    for attempt, estimate in find_late_queued(group, now):
+        step = deny_too_late(group, attempt, estimate, now)
         group = step.state
         messages += step.messages
+    group = drop_past_returns(group, now) if group.returns else group
     return continue_pipe(group, now, *messages)
 
 
-def _find_late_queued(group, now):
-    """Return late attempts with their estimates, in one scan of the queue."""
-    capacities = {
-        work_class: class_capacity(group, work_class, now) for work_class in WorkClass
-    }
-    arrivals = group.arrivals
-    higher_priority_rates = {
-        priority: higher_priority_rate(arrivals, priority, now)
-        for priority in arrivals.by_priority
-    }
-    ahead = dict.fromkeys(WorkClass, 0)
-    found = []
-    for position in group.queue:
-        attempt = group.attempts[position.key]
-        work_class = attempt.request.work_class
-        higher_priority_per_s = higher_priority_rates[attempt.request.priority]
-        estimate = estimate_wait_behind(
-            group,
-            attempt,
-            ahead[work_class],
-            capacities[work_class],
-            higher_priority_per_s,
-        )
-        if will_miss_deadline(attempt, estimate, now):
-            found.append((attempt, estimate))
-        else:
-            ahead[work_class] += 1
-    return found
-
-
 def expire_grants(group, now):
     """End granted attempts whose entry node did not report in time."""
     for attempt in group.attempts.values():
--- a/comfreyusher/owner/_queue.py
+++ b/comfreyusher/owner/_queue.py
@@ -1,48 +1,82 @@
 """The queue of a group: by priority, then by the earliest deadline.
 
 Long attempts are also kept in a queue of their own, so that the position of an
-attempt among its work class is found without a scan of the whole queue.
+attempt among its work class is found without a scan of the whole queue. With fair
+sharing the queue is a ``FairQueue`` instead.
 """
 
 import bisect
-import dataclasses
 
 from comfreyusher.flow import replace
+from comfreyusher.messages import WorkClass
+from comfreyusher.owner._capacity import DEFAULT_SERVICE_S
+from comfreyusher.owner._fair_queue import (
+    EMPTY_QUEUE,
+    FairQueue,
+    insert_attempt,
+    insert_position,
+    position_of,
+    remove_attempt,
+    remove_position,
+    serve_attempt,
+)
 
+MILLISECONDS_PER_SECOND = 1000
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class QueuePosition:
-    """Position of a queued attempt; the smallest goes first."""
 
-    priority: int
-    deadline_s: float
-    queued_s: float
-    key: object = dataclasses.field(compare=False)
+def expected_cost_ms(group, request):
+    """Return the expected work of a request: the typical time of its route.
 
-
-def position_of(attempt):
-    """Return the queue position of an attempt."""
-    request = attempt.request
-    return QueuePosition(
-        request.priority, attempt.deadline_s, attempt.queued_s, request.key
-    )
+    It is at least one millisecond.
+    """
+    long = request.work_class is WorkClass.LONG
+    mean_s = (group.long_mean_s if long else group.short_mean_s) or DEFAULT_SERVICE_S
+    typical_s = group.typical_s.get(request.route_key, mean_s)
+    return max(1, round(typical_s * MILLISECONDS_PER_SECOND))
 
 
 def enqueue(group, attempt):
     """Return the group with the attempt in its queue."""
+    if group.plan.fair_sharing:
+        return replace(group, queue=insert_attempt(group.queue, attempt))
     position = position_of(attempt)
-    group = replace(group, queue=_insert_position(group.queue, position))
+    group = replace(group, queue=insert_position(group.queue, position))
     if group.is_long(attempt):
-        group = replace(group, long_queue=_insert_position(group.long_queue, position))
+        group = replace(group, long_queue=insert_position(group.long_queue, position))
     return group
 
 
 def dequeue(group, attempt):
     """Return the group without the attempt in its queue."""
+    if group.plan.fair_sharing:
+        return replace(group, queue=remove_attempt(group.queue, attempt))
     position = position_of(attempt)
-    group = replace(group, queue=_remove_position(group.queue, position))
+    group = replace(group, queue=remove_position(group.queue, position))
     if group.is_long(attempt):
-        group = replace(group, long_queue=_remove_position(group.long_queue, position))
+        group = replace(group, long_queue=remove_position(group.long_queue, position))
+    return group
+
+
+def dequeue_granted(group, attempt):
+    """Return the group without the attempt, which is charged to its flow."""
+    if group.plan.fair_sharing:
+        return replace(group, queue=serve_attempt(group.queue, attempt))
+    return dequeue(group, attempt)
+
+
+def rebuild_queue(group):
+    """Return the group with the kind of queue that its plan wants."""
+    if group.plan.fair_sharing == (type(group.queue) is FairQueue):
+        return group
+    attempts = [group.attempts[position.key] for position in group.queue]
+    queue = EMPTY_QUEUE if group.plan.fair_sharing else ()
+    group = replace(group, queue=queue, long_queue=())
+    for attempt in attempts:
+        cost_ms = expected_cost_ms(group, attempt.request)
+        attempt = replace(attempt, cost_ms=cost_ms)
+        group = enqueue(group, attempt)
+        queued = group.attempts.set(attempt.request.key, attempt)
+        group = replace(group, attempts=queued)
     return group
 
 
@@ -57,17 +91,6 @@
 
 def count_queued_short(group):
     """Return how many short requests are queued."""
+    if group.plan.fair_sharing:
+        return group.queue.count - group.queue.long_count
     return len(group.queue) - len(group.long_queue)
-
-
-def _insert_position(positions, position):
-    index = bisect.bisect(positions, position)
-    return positions[:index] + (position,) + positions[index:]
-
-
-def _remove_position(positions, position):
-    index = bisect.bisect_left(positions, position)
-    for other_index in range(index, len(positions)):
-        if positions[other_index].key == position.key:
-            return positions[:other_index] + positions[other_index + 1 :]
-    return positions
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -12,6 +12,7 @@
     record_success,
 )
 from comfreyusher.messages import NOT_RUN_VERDICTS, ReportAck, Verdict
+from comfreyusher.owner._fair_queue import correct_cost
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._poison_requests import clear_suspect, record_crash
 from comfreyusher.owner._queue import dequeue
@@ -45,6 +46,9 @@
     attempt = group.attempts.get(report.key)
     if attempt is not None:
         group = end_attempt(group, attempt)
+        if group.plan.fair_sharing and attempt.upstream:
+            queue = correct_cost(group.queue, attempt, report.took_ms)
+            group = replace(group, queue=queue)
     elif not report.upstream:
         return end_pipe(group, None, ack)
     if report.upstream in group.upstreams:
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -17,6 +17,7 @@
 )
 from comfreyusher.messages import GrantRequest, WorkClass
 from comfreyusher.owner._arrivals import Arrivals
+from comfreyusher.owner._fair_queue import EMPTY_QUEUE, FairQueue
 from comfreyusher.owner._retry_budget import new_retry_budget
 from comfreyusher.owner._window import SlidingWindow
 
@@ -131,7 +132,8 @@
     """An attempt that is queued or granted; ``upstream`` is empty while it is queued.
 
     ``spread`` tells that load spreading chose the upstream. ``stalls`` counts the
-    stalls that were recorded for the attempt.
+    stalls that were recorded for the attempt, ``cost_ms`` is the work that it was
+    expected to be when it arrived.
     """
 
     request: GrantRequest
@@ -143,6 +145,7 @@
     risk: float = 0.0
     spread: bool = False
     stalls: int = 0
+    cost_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,7 +167,10 @@
     ``retry_budget`` counts first attempts and retries, ``outcomes`` the requests
     that were served and those that failed recently, ``arrivals`` the admitted
     requests. ``attempts`` maps attempt keys to ``Attempt``. ``queue`` holds queue
-    positions, ``long_queue`` those of long attempts alone. ``typical_s`` maps
+    positions, ``long_queue`` those of long attempts alone; with fair sharing ``queue``
+    is a ``FairQueue``, and ``returns`` tells when refused requests were told to come
+    back. ``refusals`` counts attempts refused for a long queue by ``RefusalCause``,
+    while fair sharing is on. ``typical_s`` maps
     routes to the moving average of their durations. ``short_demand_peak`` is the
     largest number of slots that short requests recently needed at once.
     ``owned_since_s`` is when this node became the owner, ``initial_slack`` the
@@ -179,8 +185,10 @@
     outcomes: SlidingWindow = SlidingWindow(OUTCOMES_SPAN_S, OUTCOMES_BUCKET_S)
     upstreams: immutables.Map = immutables.Map()
     attempts: immutables.Map = immutables.Map()
-    queue: tuple = ()
+    queue: tuple | FairQueue = ()
     long_queue: tuple = ()
+    returns: immutables.Map = immutables.Map()
+    refusals: immutables.Map = immutables.Map()
     typical_s: immutables.Map = immutables.Map()
     arrivals: Arrivals = Arrivals()
     short_durations_s: tuple = ()
@@ -209,6 +217,7 @@
     first_stall_s = plan.profile.detection.first_stall_ms / 1000
     group = Group(
         plan=plan,
+        queue=EMPTY_QUEUE if plan.fair_sharing else (),
         retry_budget=new_retry_budget(plan.profile.retries),
         short_stall_threshold_s=first_stall_s,
         long_stall_threshold_s=first_stall_s * 10,
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import enum
+import itertools
 import random
 
 from comfreyusher.declarations import Profile
@@ -32,9 +34,19 @@
 GROUP = "s@r"
 CHECK_PERIOD_S = 0.1
 ERROR_RESPONSE_S = 0.004
+RETURN_AT_ONCE_S = 0.02
+HONOURED_SHARE = 1 / 3
 FAILURES = (Verdict.FAULT, Verdict.BROKEN, Verdict.CRASHED)
 
 
+class Returns(enum.Enum):
+    """When a caller sends a refused request again, until its deadline."""
+
+    NEVER = "never"
+    AS_TOLD = "as told, up to a third of the remaining time"
+    AT_ONCE = "at once"
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestKind:
     """A kind of request and its demand; ``duration_s`` is the median duration."""
@@ -50,6 +62,8 @@
     work_class: WorkClass = WorkClass.SHORT
     max_attempts: int = 2
     error_share: float = 0.0
+    client_account: str = ""
+    returns: Returns = Returns.NEVER
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +90,10 @@
 
 @dataclasses.dataclass
 class Request:
-    """A request of a caller, and its outcome."""
+    """A request of a caller, and its outcome.
+
+    ``refusals`` holds the time of each refusal, and the time told to wait.
+    """
 
     kind: RequestKind
     number: int
@@ -87,12 +104,22 @@
     executions: int = 0
     ended_s: float = 0.0
     outcome: str = ""
+    refusals: list = dataclasses.field(default_factory=list)
 
 
 class Simulation(EventClock):
     """Runs a group on simulated time."""
 
-    def __init__(self, behaviours, kinds, seed=1, slots=4, profile=None, slack=20):
+    def __init__(
+        self,
+        behaviours,
+        kinds,
+        seed=1,
+        slots=4,
+        profile=None,
+        slack=20,
+        fair_sharing=False,
+    ):
         super().__init__(now=100.0)
         self.random = random.Random(seed)
         self.start_s = self.now
@@ -100,6 +127,8 @@
         self.slots = slots
         self.profile = profile or Profile("p")
         self.slack = slack
+        self.fair_sharing = fair_sharing
+        self.numbers = itertools.count(1)
         self.leaving = set()
         self.group = new_group(self.plan(), self.now)
         self.running = dict.fromkeys(self.behaviours, 0)
@@ -121,7 +150,7 @@
             for name, b in self.behaviours.items()
         )
         slots = self.slots * len(specs)
-        return Plan(GROUP, self.profile, slots, specs, self.slack)
+        return Plan(GROUP, self.profile, slots, specs, self.slack, self.fair_sharing)
 
     def _failure_episodes(self, behaviour):
         """Return the spans in which an upstream fails, for the next 10 minutes."""
@@ -171,7 +200,7 @@
 
     def start_request(self, kind):
         """Add a request that arrives now."""
-        request = Request(kind, len(self.requests) + 1, self.now)
+        request = Request(kind, next(self.numbers), self.now)
         self.requests.append(request)
         if self.now < self.lost_until_s:
             self.end_request(request, "lost")
@@ -204,6 +233,7 @@
             f"r{request.number}",
             f"f{request.number}",
             request.tried_upstreams,
+            client_account=kind.client_account,
         )
         self.pending[grant_request.key] = request
         self.send(grant_request)
@@ -217,11 +247,25 @@
             if isinstance(body, Grant):
                 self.dispatch(body)
             elif isinstance(body, Denial):
-                self.end_request(self.pending.pop(body.key), "refused")
+                self.refuse(self.pending.pop(body.key), body.retry_after_ms / 1000)
             elif not isinstance(body, QueuedAck | ReportAck):
                 for hook in self.hooks:
                     hook(body)
 
+    def refuse(self, request, retry_after_s):
+        """End a refused request, or let its caller send it again later."""
+        request.refusals.append((self.now, retry_after_s))
+        remaining_s = request.arrived_s + request.kind.deadline_s - self.now
+        returns = request.kind.returns
+        wait_s = RETURN_AT_ONCE_S
+        if returns is Returns.AS_TOLD:
+            wait_s = max(wait_s, min(retry_after_s, remaining_s * HONOURED_SHARE))
+        if returns is Returns.NEVER or request.executions or wait_s >= remaining_s:
+            self.end_request(request, "refused")
+            return
+        request.number, request.attempts = next(self.numbers), 0
+        self.at(self.now + wait_s, lambda: self.request_grant(request))
+
     def lose_nodes(self, seconds):
         """Lose all nodes for a time: their requests, and what the owner knew."""
         self.lost_until_s = self.now + seconds
