--- a/comfreyusher/owner/_choose.py
+++ b/comfreyusher/owner/_choose.py
@@ -19,6 +19,7 @@
     is_allowed,
     may_take_slot,
 )
+from comfreyusher.owner._fair_queue import count_turns
 from comfreyusher.owner._handover_load import count_other_loads
 from comfreyusher.owner._known_failing import find_known_failing
 from comfreyusher.owner._load_spreading import (
@@ -247,5 +248,15 @@
     if not safe_slots:
         return False
     typical_s = group.typical_s.get(attempt.request.route_key, DEFAULT_TYPICAL_S)
-    rounds = 1 + len(group.queue) / safe_slots
+    rounds = 1 + _count_before(group, attempt) / safe_slots
     return now + typical_s * (rounds + WAIT_MARGIN_ROUNDS) < attempt.target_s
+
+
+def _count_before(group, attempt):
+    """Return how many queued attempts may get a slot before this one.
+
+    With fair sharing the backlog of a flow is not before the next attempt of another.
+    """
+    if not group.plan.fair_sharing:
+        return len(group.queue)
+    return count_turns(group.queue, attempt.request.priority)
--- a/comfreyusher/owner/_fair_queue.py
+++ b/comfreyusher/owner/_fair_queue.py
@@ -117,13 +117,15 @@
 
     ``own_ms`` is that of its own account, ``others_ms`` that of other accounts of its
     rank, ``urgent_ms`` that of more urgent ranks. ``accounts`` is how many accounts
-    share the rank, its own included.
+    share the rank, its own included. A ``heavy`` account has a backlog that arrivals
+    of other accounts go before.
     """
 
     own_ms: float
     others_ms: float
     urgent_ms: float
     accounts: int
+    heavy: bool
 
     @property
     def total_ms(self):
@@ -131,6 +133,17 @@
         return self.own_ms + self.others_ms + self.urgent_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueSummary:
+    """What is queued, for logs; ``longest`` is the account with the most work."""
+
+    queued: int
+    accounts: int
+    flows: int
+    longest_ms: int
+    longest: str
+
+
 def iterate_flows(queue):
     """Yield the flows in the order of their turns: ``((rank, account, route), flow)``.
 
@@ -246,15 +259,51 @@
         one_each_ms = sum_capped(backlogs, attempt.cost_ms, account_ms)
         others_ms = max(others_ms, before * one_each_ms)
     accounts = len(rank.level.turns) + (name not in rank.level.turns)
-    return WorkAhead(own_ms, others_ms, urgent_ms, accounts)
+    heavy = own_ms > 0 and not _is_light_account(rank, account)
+    return WorkAhead(own_ms, others_ms, urgent_ms, accounts, heavy)
 
 
 def count_flow_ahead(queue, attempt):
     """Return how many attempts of its own flow are before an attempt."""
-    number, name, route = flow_of(attempt.request)
+    positions = _find_flow(queue, attempt.request).positions
+    return bisect.bisect_left(positions, position_of(attempt))
+
+
+def count_flow(queue, request):
+    """Return how many attempts the flow of a request has queued."""
+    return len(_find_flow(queue, request).positions)
+
+
+def has_later_ones(queue, attempt):
+    """Tell whether attempts of its own flow are behind an attempt."""
+    positions = _find_flow(queue, attempt.request).positions
+    return bool(positions) and position_of(attempt) < positions[-1]
+
+
+def _find_flow(queue, request):
+    number, name, route = flow_of(request)
     rank = queue.ranks.get(number, EMPTY_RANK)
-    flow = rank.accounts.get(name, EMPTY_ACCOUNT).flows.get(route, EMPTY_FLOW)
-    return bisect.bisect_left(flow.positions, position_of(attempt))
+    return rank.accounts.get(name, EMPTY_ACCOUNT).flows.get(route, EMPTY_FLOW)
+
+
+def count_turns(queue, priority):
+    """Return how many accounts are queued in a rank and in more urgent ones."""
+    return sum(
+        len(queue.ranks[number].accounts)
+        for number in queue.order
+        if number <= priority
+    )
+
+
+def summarize_queue(queue):
+    """Return the ``QueueSummary`` of a queue."""
+    if type(queue) is not FairQueue:
+        return QueueSummary(len(queue), 0, 0, 0, "")
+    ranks = queue.ranks.values()
+    accounts = [(sum(a.work_ms), name) for r in ranks for name, a in r.accounts.items()]
+    flows = sum(len(a.flows) for r in ranks for a in r.accounts.values())
+    work_ms, longest = max(accounts, default=(0, ""))
+    return QueueSummary(len(queue), len(accounts), flows, work_ms, longest)
 
 
 def is_light(queue, request):
@@ -265,8 +314,12 @@
     rank = queue.ranks.get(request.priority)
     if rank is None:
         return False
-    queued_ms = sum(rank.accounts.get(request.client_account, EMPTY_ACCOUNT).work_ms)
-    return 2 * queued_ms * len(rank.accounts) < sum(rank.work_ms)
+    account = rank.accounts.get(request.client_account, EMPTY_ACCOUNT)
+    return _is_light_account(rank, account)
+
+
+def _is_light_account(rank, account):
+    return 2 * sum(account.work_ms) * len(rank.accounts) < sum(rank.work_ms)
 
 
 def _add_work(rank, name, account, long, cost_ms):
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -5,19 +5,23 @@
 
 from comfreyusher.flow import continue_pipe, end_pipe, pipe, replace
 from comfreyusher.health import Standing
-from comfreyusher.messages import Denial, DenialReason, Grant, QueuedAck, WorkClass
+from comfreyusher.messages import Denial, DenialReason, Grant, QueuedAck
 from comfreyusher.owner._arrivals import record_arrival
-from comfreyusher.owner._capacity import is_suspect
 from comfreyusher.owner._choose import (
     Purpose,
     choose_upstream,
     find_candidates,
     refresh_candidate,
 )
-from comfreyusher.owner._fair_queue import is_light, iterate_flows
+from comfreyusher.owner._fair_queue import is_light
 from comfreyusher.owner._handover_load import record_load
-from comfreyusher.owner._load_shedding import estimate_wait, is_too_late
+from comfreyusher.owner._load_shedding import (
+    estimate_wait,
+    find_certain_delay,
+    is_too_late,
+)
 from comfreyusher.owner._messages import to_entry_node
+from comfreyusher.owner._next_attempt import Waiting, find_next, requirements_of
 from comfreyusher.owner._queue import (
     count_queued_short,
     dequeue,
@@ -33,8 +37,6 @@
 from comfreyusher.owner._window import count_event
 
 MAX_SCANNED_POSITIONS = 64
-MAX_POSITIONS_OF_FLOW = 8
-MAX_VISITED_FLOWS = 64
 SECOND_OWNER_SLACK = 2
 FIRST_ATTEMPT = 1
 BUDGET_RETRY_AFTER_MS = 500
@@ -251,11 +253,15 @@
     refusing = group.refusals_until_s > now
     waiting = Waiting({}, set())
     while candidate_set.has_free_slot():
-        found = _find_next(group, candidate_set, waiting, refusing, now)
+        found = find_next(group, candidate_set, waiting, refusing, now)
         if found is None:
             break
         attempt, choice = found
-        step = grant(group, attempt, choice, now)
+        late = find_certain_delay(group, attempt, now)
+        if late is not None:
+            step = deny_too_late(group, attempt, late, now)
+        else:
+            step = grant(group, attempt, choice, now)
         group = step.state
         candidate_set = refresh_candidate(
             candidate_set, group, choice.upstream.name, now
@@ -264,77 +270,6 @@
     return end_pipe(group, None, *messages)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
-    """What one search for attempts has found to wait.
-
-    ``target_s`` maps ``Requirements`` to the earliest target that has to wait,
-    ``flows`` are the flows of which no attempt can be granted now.
-    """
-
-    target_s: dict
-    flows: set
-
-
-def _find_next(group, candidate_set, waiting, refusing, now):
-    """Return the next attempt that can be granted, and its choice, or ``None``.
-
-    A flow that has to wait holds up no other one: only its first positions are tried.
-    """
-    visited = 0
-    for name, flow in iterate_flows(group.queue):
-        if name in waiting.flows:
-            continue
-        for position in flow.positions[:MAX_POSITIONS_OF_FLOW]:
-            attempt = group.attempts[position.key]
-            if position.deadline_s <= now:
-                continue
-            requirements = requirements_of(group, attempt, refusing)
-            if attempt.target_s >= waiting.target_s.get(requirements, math.inf):
-                continue
-            choice = choose_upstream(group, attempt, candidate_set, now)
-            if choice is not None:
-                return attempt, choice
-            waiting.target_s[requirements] = attempt.target_s
-        waiting.flows.add(name)
-        visited += 1
-        if visited >= MAX_VISITED_FLOWS:
-            break
-    return None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Requirements:
-    """Attributes that decide, besides the target, whether an attempt has to wait."""
-
-    route_key: str
-    work_class: WorkClass
-    idempotent: bool
-    last_attempt: bool
-    suspect: bool
-    excluded_upstreams: tuple
-    avoided_upstreams: tuple
-    node: str
-
-
-def requirements_of(group, attempt, refusing):
-    """Return the ``Requirements`` of an attempt.
-
-    Its node counts only while some upstream is ``refusing`` the requests of a node.
-    """
-    request = attempt.request
-    return Requirements(
-        request.route_key,
-        request.work_class,
-        request.idempotent,
-        request.last_attempt,
-        is_suspect(group, attempt),
-        request.excluded_upstreams,
-        request.avoided_upstreams,
-        request.node if refusing else "",
-    )
-
-
 def grant(group, attempt, choice, now):
     """Return the group after a grant or a denial of the chosen upstream."""
     spread = choice.purpose is Purpose.SPREAD
--- a/comfreyusher/owner/_load_shedding.py
+++ b/comfreyusher/owner/_load_shedding.py
@@ -20,7 +20,12 @@
     count_free_limited,
     count_usable_slots,
 )
-from comfreyusher.owner._fair_queue import WorkAhead, count_flow_ahead, work_ahead
+from comfreyusher.owner._fair_queue import (
+    WorkAhead,
+    count_flow,
+    count_flow_ahead,
+    work_ahead,
+)
 from comfreyusher.owner._handover_load import count_other_loads
 from comfreyusher.owner._queue import count_ahead, count_queued_short
 
@@ -29,7 +34,11 @@
 SERVICE_TIME_FACTOR = 1.2
 CERTAIN_WAIT_SHARE = 0.5
 MIN_RATE_SHARE = 0.05
-LATE_WAIT_SHARE = 0.5
+# The slowest tenth of the requests takes half as long again as the typical one.
+DEADLINE_MARGIN_SHARE = 0.5
+# What arrives for other accounts varies; an attempt that is refused after a wait in
+# its account's backlog is worth less than one that is refused at once.
+BACKLOG_MARGIN_FACTOR = 1.25
 MOSTLY_URGENT_SHARE = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
@@ -113,8 +122,8 @@
     request = attempt.request
     capacity = class_capacity(group, request.work_class, now)
     if group.plan.fair_sharing:
-        rates = arrival_rates(group, request.work_class, request.priority, now)
         index = count_flow_ahead(group.queue, attempt)
+        rates = arrival_rates(group, request.work_class, request.priority, now)
         return estimate_fair_wait(group, attempt, index, capacity, rates)
     higher_priority_per_s = higher_priority_rate(group.arrivals, request.priority, now)
     return estimate_wait_behind(
@@ -122,6 +131,15 @@
     )
 
 
+def estimate_last_wait(group, attempt, now):
+    """Return the expected wait behind all that the flow of an attempt has queued."""
+    request = attempt.request
+    capacity = class_capacity(group, request.work_class, now)
+    rates = arrival_rates(group, request.work_class, request.priority, now)
+    index = count_flow(group.queue, request)
+    return estimate_fair_wait(group, attempt, index, capacity, rates)
+
+
 def estimate_wait_behind(group, attempt, ahead, capacity, higher_priority_per_s):
     """Return the expected wait behind ``ahead`` attempts of the same work class.
 
@@ -145,7 +163,7 @@
     """Return the expected wait of an attempt with ``index`` of its flow before it."""
     work = work_ahead(group.queue, attempt, index)
     before_per_s = rates.urgent_per_s
-    if work.own_ms:
+    if work.heavy:
         before_per_s = overtaking_rate(capacity, work.accounts, rates)
     ahead = work.total_ms / MILLISECONDS_PER_SECOND / capacity.mean_s
     estimate = estimate_wait_behind(group, attempt, ahead, capacity, before_per_s)
@@ -158,8 +176,8 @@
     """Return the rate of arrivals that go before the backlog of an account.
 
     These are the more urgent ones, and those of accounts with little queued, as far
-    as they leave the account its share. The first attempt of an account is not
-    overtaken by its own rank.
+    as they leave the account its share. An account that has little queued itself is
+    not overtaken by its own rank.
     """
     left_per_s = max(0.0, capacity.slots / capacity.mean_s - rates.urgent_per_s)
     most_per_s = left_per_s * (1 - 1 / accounts)
@@ -181,8 +199,7 @@
     """Tell whether an arriving attempt cannot be answered in time.
 
     An attempt that would miss its target even without a wait only has to meet its
-    deadline. With fair sharing a part of the time from the target to the deadline
-    may be used for the wait.
+    deadline.
     """
     if estimate.wait_s <= 0:
         return attempt.deadline_s <= now
@@ -190,19 +207,23 @@
         return True
     min_service_s = estimate.service_s * SERVICE_TIME_FACTOR
     due_s = due_time_s(group, attempt, min_service_s, now)
-    return now + estimate.wait_s + min_service_s > due_s
+    wait_s = estimate.wait_s
+    if estimate.work is not None and estimate.work.heavy:
+        wait_s *= BACKLOG_MARGIN_FACTOR
+    return now + wait_s + min_service_s > due_s
 
 
 def due_time_s(group, attempt, min_service_s, now):
-    """Return until when an arriving attempt may be answered."""
-    due_s = (
-        attempt.target_s
-        if now + min_service_s < attempt.target_s
-        else attempt.deadline_s
-    )
+    """Return until when an arriving attempt may be answered.
+
+    With fair sharing it may wait past its target, as long as it can still be
+    answered by its deadline even if it takes longer than usual.
+    """
     if group.plan.fair_sharing:
-        due_s += LATE_WAIT_SHARE * (attempt.deadline_s - due_s)
-    return due_s
+        return attempt.deadline_s - min_service_s * DEADLINE_MARGIN_SHARE
+    if now + min_service_s < attempt.target_s:
+        return attempt.target_s
+    return attempt.deadline_s
 
 
 def will_miss_deadline(attempt, estimate, now):
@@ -217,6 +238,19 @@
     return now + min_service_s > attempt.deadline_s
 
 
+def find_certain_delay(group, attempt, now):
+    """Return the estimate of a queued attempt that would miss its deadline on a slot.
+
+    Return ``None`` if it may be answered in time, or was granted at its arrival.
+    """
+    if attempt.queued_s >= now:
+        return None
+    service_s = group.typical_s.get(attempt.request.route_key, 0.0)
+    if now + service_s <= attempt.deadline_s:
+        return None
+    return estimate_wait(group, attempt, now)
+
+
 def retry_after_ms(estimate):
     """Return after how many milliseconds the caller may try again."""
     if estimate.wait_s == float("inf"):
--- a/comfreyusher/owner/_return_times.py
+++ b/comfreyusher/owner/_return_times.py
@@ -1,27 +1,29 @@
 """When a refused request is told to come back.
 
-With fair sharing the requests of one flow are told times one after another, at the
-pace at which the flow is served, from the time on when its backlog has shrunk enough.
-So they come back in the order and at the rate in which there will be room.
+With fair sharing that is after what its flow has queued is served. The requests of
+one flow are told times one after another, at the pace at which the flow is served,
+so that they come back in the order and at the rate in which there will be room.
 """
 
 import dataclasses
 import enum
 import math
 
+import immutables
+
 from comfreyusher.flow import replace
-from comfreyusher.owner._fair_queue import flow_of
+from comfreyusher.owner._fair_queue import flow_of, has_later_ones
 from comfreyusher.owner._load_shedding import (
     MILLISECONDS_PER_SECOND,
     MIN_RETRY_AFTER_MS,
     NO_SLOTS_RETRY_AFTER_MS,
-    SERVICE_TIME_FACTOR,
-    due_time_s,
+    estimate_last_wait,
     retry_after_ms,
 )
 
 # Fractional parts of its multiples spread evenly, however many there are.
 SPREAD_RATIO = (math.sqrt(5) - 1) / 2
+NO_REFUSALS = immutables.Map()
 
 
 class RefusalCause(str, enum.Enum):
@@ -54,17 +56,18 @@
     if not group.plan.fair_sharing:
         return PlannedReturn(group, retry_after_ms(estimate))
     cause = cause_of(estimate)
+    if has_later_ones(group.queue, attempt):
+        estimate = estimate_last_wait(group, attempt, now)
     refusals = group.refusals.set(cause, group.refusals.get(cause, 0) + 1)
     flow = flow_of(attempt.request)
-    first_s = now + _first_return_s(group, attempt, estimate, now)
+    first_s = now + _wait_s(estimate)
     pace_s = _pace_s(attempt, estimate)
     returns = group.returns.get(flow, Returns(-math.inf, 0))
     return_s = max(first_s, returns.last_s + pace_s)
-    if return_s > attempt.deadline_s:
-        return_s = first_s
-    count = returns.count + 1
-    told_s = return_s + pace_s * (count * SPREAD_RATIO % 1)
-    returns = group.returns.set(flow, Returns(return_s, count))
+    if return_s - first_s > attempt.deadline_s - now:
+        return_s = first_s  # the first ones of the list have given up by then
+    told_s = return_s + pace_s * (returns.count * SPREAD_RATIO % 1)
+    returns = group.returns.set(flow, Returns(return_s, returns.count + 1))
     group = replace(group, refusals=refusals, returns=returns)
     return PlannedReturn(group, int((told_s - now) * MILLISECONDS_PER_SECOND))
 
@@ -82,6 +85,15 @@
     return RefusalCause.OTHER_ACCOUNTS
 
 
+def count_new_refusals(before, refusals):
+    """Return how many attempts were refused since ``before``, by name of the cause."""
+    return {
+        cause.value: count - before.get(cause, 0)
+        for cause, count in refusals.items()
+        if count != before.get(cause, 0)
+    }
+
+
 def drop_past_returns(group, now):
     """Return the group without the flows whose requests should all be back."""
     returns = group.returns
@@ -91,18 +103,19 @@
     return replace(group, returns=returns)
 
 
-def _first_return_s(group, attempt, estimate, now):
-    """Return the time in which the backlog shrinks enough to admit the attempt."""
+def _wait_s(estimate):
+    """Return the wait after which a caller finds room at the earliest."""
     if estimate.wait_s == math.inf:
         return NO_SLOTS_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND
-    min_service_s = estimate.service_s * SERVICE_TIME_FACTOR
-    due_s = due_time_s(group, attempt, min_service_s, now)
-    min_s = MIN_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND
-    return max(min_s, estimate.wait_s - max(0.0, due_s - now - min_service_s))
+    return max(MIN_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND, estimate.wait_s)
 
 
 def _pace_s(attempt, estimate):
-    """Return the time in which one attempt of the account is served."""
+    """Return by how much one more attempt of the flow would extend the wait."""
     if estimate.wait_s == math.inf:
         return MIN_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND
-    return estimate.wait_s * attempt.cost_ms / (estimate.work.own_ms + attempt.cost_ms)
+    work, cost_ms = estimate.work, attempt.cost_ms
+    shared_ms = cost_ms
+    if work.own_ms:
+        shared_ms *= (work.own_ms + work.others_ms) / work.own_ms
+    return estimate.wait_s * shared_ms / (work.total_ms + cost_ms)
--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -22,12 +22,14 @@
     Verdict,
 )
 from comfreyusher.owner._decide import decide
+from comfreyusher.owner._fair_queue import summarize_queue
 from comfreyusher.owner._messages import DATAGRAMS_CHANNEL, CheckDue, Leave, PlanChanged
 from comfreyusher.owner._periodic_checks import CHECK_PERIOD_S
+from comfreyusher.owner._return_times import NO_REFUSALS, count_new_refusals
 from comfreyusher.owner._state import new_group
 from comfreyusher.owner._trace import owner_span
 from comfreyusher.owner._usage import is_below_floor, measure_usage
-from comfreyusher.telemetry import AttemptEnded, GrantDenied
+from comfreyusher.telemetry import AttemptEnded, GrantDenied, SharingRefused
 
 CHANNEL = "owner"
 PART = "owner"
@@ -68,6 +70,7 @@
         self.groups = {}
         self.plans = {}
         self.last_request_s = {}
+        self.logged_refusals = {}
         self.checking = False
         self.leaving = False
         self.started_s = self.clock()
@@ -144,6 +147,7 @@
         if tick.name == "status":
             self.send_message("operators", OwnerStatus(tuple(self.groups.values())))
             self._log_usage()
+            self._log_refusals()
             return
         self.tick_monitor = record_tick(self.tick_monitor, self.clock(), CHECK_PERIOD_S)
         active = False
@@ -153,6 +157,7 @@
             self.decide(name, CheckDue(self.tick_monitor.late))
             if not group.attempts and idle_s > GROUP_EXPIRY_S:
                 del self.groups[name]
+                self.logged_refusals.pop(name, None)
         if not active:
             self.checking = False
             self.send_message("timers", Unsubscribe(CHANNEL, "checks"))
@@ -201,6 +206,25 @@
                     PART, "upstreams unused", group=name, **dataclasses.asdict(usage)
                 )
 
+    def _log_refusals(self):
+        """Log and count what fair sharing refused since the last status, by cause."""
+        for name, group in self.groups.items():
+            logged = self.logged_refusals.get(name, NO_REFUSALS)
+            if group.refusals == logged:
+                continue
+            self.logged_refusals[name] = group.refusals
+            refused = count_new_refusals(logged, group.refusals)
+            for cause, count in refused.items():
+                measurement = SharingRefused(name, cause, count)
+                self.send_message("telemetry", measurement)
+            log_info(
+                PART,
+                "sharing",
+                group=name,
+                refused=refused,
+                **dataclasses.asdict(summarize_queue(group.queue)),
+            )
+
     def _log_report(self, group, report):
         upstream = group.upstreams.get(report.upstream)
         log_info(
--- a/comfreyusher/telemetry/__init__.py
+++ b/comfreyusher/telemetry/__init__.py
@@ -5,6 +5,7 @@
     GrantDenied,
     HeadersUnreadable,
     RequestMeasured,
+    SharingRefused,
     SpanEnded,
     UpstreamEjected,
 )
@@ -22,6 +23,7 @@
     "GrantDenied",
     "HeadersUnreadable",
     "RequestMeasured",
+    "SharingRefused",
     "SpanEnded",
     "TelemetryTask",
     "TraceContext",
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -46,6 +46,15 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharingRefused:
+    """An owner that shares a group fairly refused attempts for their expected wait."""
+
+    group: str
+    cause: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeadersUnreadable:
     """A response had headers whose value is ignored; ``names`` are their names."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -74,7 +74,11 @@
         self.denials = meter.create_counter(
             "comfreyusher.denials", "1", "Attempts without an upstream by reason."
         )
-
+        self.sharing_refusals = meter.create_counter(
+            "comfreyusher.sharing.refusals",
+            "1",
+            "Attempts refused for their expected wait while accounts share, by cause.",
+        )
         self.unreadable = meter.create_counter(
             "comfreyusher.unreadable_headers",
             "1",
@@ -126,6 +130,14 @@
         }
         self.denials.add(1, attributes)
 
+    def count_sharing_refusals(self, refused):
+        """Count attempts that were refused while a group is shared fairly."""
+        attributes = {
+            "comfreyusher.group": refused.group,
+            "comfreyusher.cause": refused.cause,
+        }
+        self.sharing_refusals.add(refused.count, attributes)
+
     def count_unreadable(self, headers):
         """Count the headers of a response whose value was ignored."""
         for name in headers.names:
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -10,6 +10,7 @@
     GrantDenied,
     HeadersUnreadable,
     RequestMeasured,
+    SharingRefused,
     SpanEnded,
     UpstreamEjected,
 )
@@ -54,6 +55,7 @@
             UpstreamEjected: self.handle_measurement,
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
+            SharingRefused: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
@@ -86,6 +88,7 @@
             UpstreamEjected: self.meters.count_ejection,
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
+            SharingRefused: self.meters.count_sharing_refusals,
             HeadersUnreadable: self.meters.count_unreadable,
             SpanEnded: self.meters.export_span,
         }
