--- a/comfreyusher/owner/_arrivals.py
+++ b/comfreyusher/owner/_arrivals.py
@@ -57,10 +57,17 @@
     return arrived / ARRIVALS_SPAN_S
 
 
-def light_rate(arrivals, priority, now):
-    """Return the rate per second of short requests of accounts with little queued."""
+def light_rate(arrivals, priority, owned_s, now):
+    """Return the rate per second of short requests of accounts with little queued.
+
+    It is counted over the time in which the group has been owned, ``owned_s``, if
+    that is shorter than the window.
+    """
     window = arrivals.light.get(priority)
-    return count_totals(window, now)[0] / ARRIVALS_SPAN_S if window else 0.0
+    if window is None:
+        return 0.0
+    span_s = min(ARRIVALS_SPAN_S, max(ARRIVALS_BUCKET_S, owned_s))
+    return count_totals(window, now)[0] / span_s
 
 
 def steady_short_rate(arrivals, now):
--- a/comfreyusher/owner/_fair_queue.py
+++ b/comfreyusher/owner/_fair_queue.py
@@ -27,6 +27,8 @@
 )
 
 NO_WORK = (0, 0)
+# An account within its share has one attempt queued now and then.
+MIN_BACKLOG_ATTEMPTS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -259,14 +261,18 @@
         one_each_ms = sum_capped(backlogs, attempt.cost_ms, account_ms)
         others_ms = max(others_ms, before * one_each_ms)
     accounts = len(rank.level.turns) + (name not in rank.level.turns)
-    heavy = own_ms > 0 and not _is_light_account(rank, account)
+    has_backlog = own_ms > attempt.cost_ms * MIN_BACKLOG_ATTEMPTS
+    heavy = has_backlog and not _is_light_account(rank, account)
     return WorkAhead(own_ms, others_ms, urgent_ms, accounts, heavy)
 
 
 def count_flow_ahead(queue, attempt):
-    """Return how many attempts of its own flow are before an attempt."""
+    """Return how many attempts of its own flow are before one that arrives.
+
+    Those of the same deadline that arrived at the same moment are before it.
+    """
     positions = _find_flow(queue, attempt.request).positions
-    return bisect.bisect_left(positions, position_of(attempt))
+    return bisect.bisect(positions, position_of(attempt))
 
 
 def count_flow(queue, request):
@@ -309,11 +315,12 @@
 def is_light(queue, request):
     """Tell whether the account has queued less than half of the mean of its rank.
 
-    What such accounts send goes before the backlogs of the others.
+    What such accounts send goes before the backlogs of the others. While nothing is
+    queued all accounts are light, so that their rates are known when a backlog begins.
     """
     rank = queue.ranks.get(request.priority)
     if rank is None:
-        return False
+        return True
     account = rank.accounts.get(request.client_account, EMPTY_ACCOUNT)
     return _is_light_account(rank, account)
 
--- a/comfreyusher/owner/_fair_share.py
+++ b/comfreyusher/owner/_fair_share.py
@@ -13,6 +13,10 @@
 import immutables
 
 NO_TURNS = immutables.Map()
+# The virtual time stands still while new parties keep coming. Those that were served
+# least ahead of it are forgotten then; each may gain one request by that.
+MIN_KEPT_IDLE = 32
+IDLE_PER_QUEUED = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -76,6 +80,8 @@
         idle = _insert_turn(idle, turn)
     else:
         turns = turns.delete(party)
+    if len(idle) > MIN_KEPT_IDLE + IDLE_PER_QUEUED * len(order):
+        turns, idle = turns.delete(idle[0].party), idle[1:]
     return ShareLevel(level.virtual_ms, level.last_number, order, idle, turns)
 
 
--- a/comfreyusher/owner/_load_shedding.py
+++ b/comfreyusher/owner/_load_shedding.py
@@ -39,6 +39,7 @@
 # What arrives for other accounts varies; an attempt that is refused after a wait in
 # its account's backlog is worth less than one that is refused at once.
 BACKLOG_MARGIN_FACTOR = 1.25
+BACKLOG_LATE_SHARE = 0.5
 MOSTLY_URGENT_SHARE = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
@@ -114,7 +115,9 @@
     urgent_per_s = higher_priority_rate(group.arrivals, priority, now)
     if work_class is WorkClass.LONG:
         return ArrivalRates(urgent_per_s)
-    return ArrivalRates(urgent_per_s, light_rate(group.arrivals, priority, now))
+    owned_s = now - group.owned_since_s
+    light_per_s = light_rate(group.arrivals, priority, owned_s, now)
+    return ArrivalRates(urgent_per_s, light_per_s)
 
 
 def estimate_wait(group, attempt, now):
@@ -199,7 +202,8 @@
     """Tell whether an arriving attempt cannot be answered in time.
 
     An attempt that would miss its target even without a wait only has to meet its
-    deadline.
+    deadline. An account with a backlog may use a part of the time from the target to
+    the deadline: it is better refused at once than after a long wait.
     """
     if estimate.wait_s <= 0:
         return attempt.deadline_s <= now
@@ -210,6 +214,8 @@
     wait_s = estimate.wait_s
     if estimate.work is not None and estimate.work.heavy:
         wait_s *= BACKLOG_MARGIN_FACTOR
+        if now + min_service_s < attempt.target_s < due_s:
+            due_s -= (1 - BACKLOG_LATE_SHARE) * (due_s - attempt.target_s)
     return now + wait_s + min_service_s > due_s
 
 
