--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -128,7 +128,7 @@
         self.profile = profile or Profile("p")
         self.slack = slack
         self.fair_sharing = fair_sharing
-        self.numbers = itertools.count(1)
+        self.request_numbers = itertools.count(1)
         self.leaving = set()
         self.group = new_group(self.plan(), self.now)
         self.running = dict.fromkeys(self.behaviours, 0)
@@ -200,7 +200,7 @@
 
     def start_request(self, kind):
         """Add a request that arrives now."""
-        request = Request(kind, next(self.numbers), self.now)
+        request = Request(kind, next(self.request_numbers), self.now)
         self.requests.append(request)
         if self.now < self.lost_until_s:
             self.end_request(request, "lost")
@@ -263,7 +263,7 @@
         if returns is Returns.NEVER or request.executions or wait_s >= remaining_s:
             self.end_request(request, "refused")
             return
-        request.number, request.attempts = next(self.numbers), 0
+        request.number, request.attempts = next(self.request_numbers), 0
         self.at(self.now + wait_s, lambda: self.request_grant(request))
 
     def lose_nodes(self, seconds):
--- a/tests/test_pattern_fair_sharing.py
+++ b/tests/test_pattern_fair_sharing.py
@@ -156,13 +156,15 @@
     """Callers send what was refused again, at once or when they were told."""
 
     def test_callers_that_return_at_once_gain_nothing_from_the_others(self):
-        run = run_hot_account(1, 5, Returns.AT_ONCE, seconds=6)
+        run = run_hot_account(1, 8, Returns.AT_ONCE, seconds=8)
+        self.assertGreater(share_refused(run, "hot"), 0.1)
         self.assert_within_share_is_served(run, "fee")
 
     def test_payouts_are_served_beside_a_burst_that_returns(self):
         for returns in (Returns.AS_TOLD, Returns.AT_ONCE):
             with self.subTest(returns=returns):
                 run = run_burst(2, returns=returns, seconds=3)
+                self.assertGreater(share_refused(run, "burst"), 0.1)
                 self.assert_within_share_is_served(run, "payout", "seat")
 
 
