--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -12,6 +12,7 @@
     AttemptReport,
     DenialReason,
     GrantRequest,
+    UpstreamLoad,
     Verdict,
     WorkClass,
 )
@@ -28,6 +29,8 @@
 from tests.simulation import Behaviour, RequestKind, Simulation
 from tests.test_owner_properties import (
     PROFILE,
+    SLOTS,
+    UPSTREAMS,
     Model,
     OwnerMachine,
     grant_request,
@@ -354,6 +357,61 @@
         self.assertEqual(model.group.queue, queue)
 
 
+class OtherSlotsTests(unittest.TestCase):
+    """Flows that cannot use the free slots, and slots that another owner granted."""
+
+    def group(self, **fields):
+        model = FairModel()
+        model.group = new_group(replace(plan(), fair_sharing=True), model.now)
+        fields = {"remaining_ms": 60_000, "target_ms": 50_000, **fields}
+        for number in range(1, SLOTS * len(UPSTREAMS) + 1):
+            model.send(grant_request(number, **fields))
+        return model
+
+    # Guards against free slots that wait for a flow which must not use them.
+    def test_a_flow_that_cannot_use_a_slot_leaves_it_to_the_next_and_keeps_its_turn(
+        self,
+    ):
+        model = self.group()
+        excluded = UPSTREAMS[1:]
+        for number in (100, 104, 101):  # two of one account, then one of another
+            fields = {} if number == 101 else {"excluded_upstreams": excluded}
+            model.send(
+                grant_request(number, remaining_ms=60_000, target_ms=50_000, **fields)
+            )
+        key = next(k for k in model.running() if model.granted[k].upstream != "u1")
+        self.report(model, key)
+        self.assertEqual(self.granted_of(model, 100, 101, 104), [101])
+        key = next(k for k in model.running() if model.granted[k].upstream == "u1")
+        self.report(model, key)
+        self.assertEqual(self.granted_of(model, 100, 101, 104), [100, 101])
+
+    # Guards against an owner that is unfair while another one grants too.
+    def test_what_another_owner_granted_is_not_shared_again(self):
+        loads = tuple(UpstreamLoad(name, SLOTS) for name in UPSTREAMS)
+        model = FairModel()
+        model.group = new_group(replace(plan(), fair_sharing=True), model.now)
+        for number in (4, 8, 12, 16, 20, 24, 28, 32, 36, 5):
+            model.send(
+                grant_request(
+                    number, remaining_ms=60_000, target_ms=50_000, other_loads=loads
+                )
+            )
+        self.assertEqual(model.running(), [])
+        model.send(grant_request(40, remaining_ms=60_000, target_ms=50_000))
+        granted = {key.number for key in model.running()}
+        self.assertEqual(len(granted), SLOTS * len(UPSTREAMS))
+        self.assertIn(5, granted)
+
+    def report(self, model, key):
+        upstream = model.granted[key].upstream
+        model.ended[key] = "reported"
+        model.send(AttemptReport(key, "s@r", upstream, Verdict.GOOD, 5))
+
+    def granted_of(self, model, *numbers):
+        return [n for n in numbers if any(key.number == n for key in model.granted)]
+
+
 class CostTests(unittest.TestCase):
     """Decisions cost the same with few and with many accounts queued."""
 
--- a/tests/test_pattern_fair_sharing.py
+++ b/tests/test_pattern_fair_sharing.py
@@ -122,6 +122,15 @@
         for when, _, request in run.grants:
             self.assertLess(when, request.arrived_s + request.kind.deadline_s)
 
+    # Guards against a new owner that lets the hot account have the slots of others.
+    def test_a_new_owner_shares_fairly_from_the_start(self):
+        run = run_hot_account(1, 8, seconds=0)
+        run.at(run.now + 5, lambda: run.lose_nodes(0.5))
+        run.run(10)
+        lost = sum(r.outcome == "lost" for r in run.requests)
+        self.assertGreater(lost, 0)
+        self.assert_within_share_is_served(run, "fee")
+
 
 class BurstOfOneKindTests(PatternCase):
     def test_a_less_urgent_burst_takes_nothing_from_payouts_and_seats(self):
