--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -1,5 +1,7 @@
 """Properties of fair sharing: shares, ranks, deadlines, and the switch."""
 
+import contextlib
+import io
 import random
 import unittest
 
@@ -7,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule
 
-from comfreyusher.flow import replace
+from comfreyusher.flow import Tick, replace
 from comfreyusher.messages import (
     AttemptReport,
     DenialReason,
@@ -16,7 +18,7 @@
     Verdict,
     WorkClass,
 )
-from comfreyusher.owner import CheckDue, PlanChanged, decide, new_group
+from comfreyusher.owner import CheckDue, OwnerTask, PlanChanged, decide, new_group
 from comfreyusher.owner._fair_queue import (
     EMPTY_QUEUE,
     insert_attempt,
@@ -26,6 +28,7 @@
 )
 from comfreyusher.owner._fair_share import NO_BACKLOGS, replace_backlog
 from comfreyusher.owner._state import Attempt
+from comfreyusher.telemetry import GrantDenied, SharingRefused
 from tests.simulation import Behaviour, RequestKind, Simulation
 from tests.test_owner_properties import (
     PROFILE,
@@ -461,6 +464,25 @@
         self.assertLess(most, len(told_ms) * 0.05)
         self.assertGreater(min(told_ms), 0)
 
+    # Guards against operators who cannot see that sharing refuses, and why.
+    def test_refusals_are_counted_by_cause_once_a_second(self):
+        times, sent = [100.0], []
+        task = OwnerTask(clock=lambda: times[-1])
+        task.send_message = lambda channel, body: sent.append(body)
+        task.plans = {"s@r": replace(plan(), fair_sharing=True)}
+        for number in range(1, 400):
+            task.handle_grant_request(
+                grant_request(number, remaining_ms=900, target_ms=500)
+            )
+        with contextlib.redirect_stdout(io.StringIO()):
+            for _ in range(2):
+                task.handle_tick(Tick("status", 101.0))
+        counted = [body for body in sent if type(body) is SharingRefused]
+        denials = [body for body in sent if type(body) is GrantDenied]
+        self.assertEqual([body.cause for body in counted], ["own backlog"])
+        self.assertEqual(counted[0].count, len(denials))
+        self.assertGreater(len(denials), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
