--- a/comfreyusher/owner/_return_times.py
+++ b/comfreyusher/owner/_return_times.py
@@ -33,6 +33,7 @@
     OTHER_ACCOUNTS = "other accounts"
     MORE_URGENT = "more urgent"
     NO_SLOTS = "no slots"
+    NO_TIME = "no time"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,9 +78,11 @@
     work = estimate.work
     if estimate.wait_s == math.inf:
         return RefusalCause.NO_SLOTS
-    more_urgent = work.urgent_ms >= max(work.own_ms, work.others_ms)
+    more_urgent = work.urgent_ms > max(work.own_ms, work.others_ms)
     if more_urgent or estimate.mostly_urgent:
         return RefusalCause.MORE_URGENT
+    if not work.total_ms:
+        return RefusalCause.NO_TIME
     if work.own_ms >= work.others_ms:
         return RefusalCause.OWN_BACKLOG
     return RefusalCause.OTHER_ACCOUNTS
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -21,12 +21,15 @@
 from comfreyusher.owner import CheckDue, OwnerTask, PlanChanged, decide, new_group
 from comfreyusher.owner._fair_queue import (
     EMPTY_QUEUE,
+    WorkAhead,
     insert_attempt,
     iterate_flows,
     remove_attempt,
     serve_attempt,
 )
 from comfreyusher.owner._fair_share import NO_BACKLOGS, replace_backlog
+from comfreyusher.owner._load_shedding import WaitEstimate
+from comfreyusher.owner._return_times import RefusalCause, cause_of
 from comfreyusher.owner._state import Attempt
 from comfreyusher.telemetry import GrantDenied, SharingRefused
 from tests.simulation import Behaviour, RequestKind, Simulation
@@ -464,6 +467,18 @@
         self.assertLess(most, len(told_ms) * 0.05)
         self.assertGreater(min(told_ms), 0)
 
+    # Guards against a wrong cause, which would send operators to the wrong account.
+    def test_the_cause_is_what_most_of_the_wait_is_for(self):
+        causes = RefusalCause
+        for own_ms, others_ms, urgent_ms, cause in (
+            (900, 100, 100, causes.OWN_BACKLOG),
+            (100, 900, 100, causes.OTHER_ACCOUNTS),
+            (100, 100, 900, causes.MORE_URGENT),
+            (0, 0, 0, causes.NO_TIME),
+        ):
+            work = WorkAhead(own_ms, others_ms, urgent_ms, 2, False)
+            self.assertIs(cause_of(WaitEstimate(1.0, 0.1, work)), cause)
+
     # Guards against operators who cannot see that sharing refuses, and why.
     def test_refusals_are_counted_by_cause_once_a_second(self):
         times, sent = [100.0], []
