--- /dev/null
+++ b/tests/test_fair_sharing.py
@@ -0,0 +1,247 @@
+"""Single decisions of an owner with fair sharing that the properties do not cover."""
+
+import contextlib
+import io
+import random
+import unittest
+
+from comfreyusher.flow import Tick, replace
+from comfreyusher.messages import (
+    AttemptReport,
+    DenialReason,
+    UpstreamLoad,
+    Verdict,
+)
+from comfreyusher.owner import CheckDue, OwnerTask, PlanChanged, decide, new_group
+from comfreyusher.owner._fair_queue import (
+    WorkAhead,
+)
+from comfreyusher.owner._load_shedding import WaitEstimate
+from comfreyusher.owner._return_times import RefusalCause, cause_of
+from comfreyusher.telemetry import GrantDenied, SharingRefused
+from tests.simulation import Behaviour, RequestKind, Simulation
+from tests.test_fair_share import ACCOUNTS, FairModel
+from tests.test_owner_properties import (
+    PROFILE,
+    SLOTS,
+    UPSTREAMS,
+    Model,
+    grant_request,
+    plan,
+)
+from tests.test_pattern_burst import count_calls
+
+
+class SwitchTests(unittest.TestCase):
+    # Guards against client accounts that matter although sharing is off.
+    def test_without_sharing_accounts_change_nothing(self):
+        grants = []
+        for accounts in (("",) * 3, ("a", "b", "c")):
+            kinds = [
+                RequestKind(f"k{n}", 60, 0.2, priority=n % 2, client_account=account)
+                for n, account in enumerate(accounts)
+            ]
+            run = Simulation([Behaviour()] * 4, kinds, seed=3).run(5)
+            grants.append(
+                [(when, name, request.number) for when, name, request in run.grants]
+            )
+        self.assertEqual(grants[0], grants[1])
+
+    def test_without_sharing_the_order_is_by_priority_and_deadline(self):
+        rng, model = random.Random(5), Model()
+        model.group = new_group(plan(names=("u1",)), model.now)
+        numbers = range(1, 9)
+        for number in numbers:
+            model.send(
+                grant_request(
+                    number,
+                    priority=rng.randrange(2) if number > 2 else 0,
+                    remaining_ms=rng.randrange(2000, 3000),
+                    target_ms=2000,
+                    client_account=rng.choice(ACCOUNTS),
+                )
+            )
+        queued = [a for a in model.group.attempts.values() if not a.upstream]
+        queued.sort(key=lambda a: (a.request.priority, a.deadline_s))
+        for attempt in queued:
+            key = model.running()[0]
+            model.ended[key] = "reported"
+            model.send(AttemptReport(key, "s@r", "u1", Verdict.GOOD, 5))
+            self.assertIn(attempt.request.key, model.granted)
+
+
+class ChargeTests(unittest.TestCase):
+    """The cost is the typical time of the route until a report tells more."""
+
+    def backlog(self):
+        model = FairModel()
+        model.group = new_group(
+            replace(plan(names=("u1",)), fair_sharing=True), model.now
+        )
+        for number in range(1, 13):
+            model.send(grant_request(number, remaining_ms=60_000, target_ms=50_000))
+        return model
+
+    def start_of(self, model, account):
+        return model.group.queue.ranks[0].level.turns[account].start_ms
+
+    def test_a_report_corrects_the_charge(self):
+        model = self.backlog()
+        key = model.running()[0]
+        account = model.requests[key].client_account
+        before = self.start_of(model, account)
+        cost_ms = model.group.attempts[key].cost_ms
+        model.send(AttemptReport(key, "s@r", "u1", Verdict.GOOD, cost_ms + 500))
+        later_ms = {self.start_of(model, account) - before}
+        # The slot that is free may have gone to the same account.
+        self.assertTrue(min(later_ms) >= 500)
+
+    # Guards against a report that is lost, or comes twice, and is charged wrongly.
+    def test_a_repeated_report_is_charged_once(self):
+        model = self.backlog()
+        key = model.running()[0]
+        report = AttemptReport(key, "s@r", "u1", Verdict.GOOD, 900)
+        model.send(report)
+        queue = model.group.queue
+        model.send(report)
+        self.assertEqual(model.group.queue, queue)
+
+
+class OtherSlotsTests(unittest.TestCase):
+    """Flows that cannot use the free slots, and slots that another owner granted."""
+
+    def group(self, **fields):
+        model = FairModel()
+        model.group = new_group(replace(plan(), fair_sharing=True), model.now)
+        fields = {"remaining_ms": 60_000, "target_ms": 50_000, **fields}
+        for number in range(1, SLOTS * len(UPSTREAMS) + 1):
+            model.send(grant_request(number, **fields))
+        return model
+
+    # Guards against free slots that wait for a flow which must not use them.
+    def test_a_flow_that_cannot_use_a_slot_leaves_it_to_the_next_and_keeps_its_turn(
+        self,
+    ):
+        model = self.group()
+        excluded = UPSTREAMS[1:]
+        for number in (100, 104, 101):  # two of one account, then one of another
+            fields = {} if number == 101 else {"excluded_upstreams": excluded}
+            model.send(
+                grant_request(number, remaining_ms=60_000, target_ms=50_000, **fields)
+            )
+        key = next(k for k in model.running() if model.granted[k].upstream != "u1")
+        self.report(model, key)
+        self.assertEqual(self.granted_of(model, 100, 101, 104), [101])
+        key = next(k for k in model.running() if model.granted[k].upstream == "u1")
+        self.report(model, key)
+        self.assertEqual(self.granted_of(model, 100, 101, 104), [100, 101])
+
+    # Guards against an owner that is unfair while another one grants too.
+    def test_what_another_owner_granted_is_not_shared_again(self):
+        loads = tuple(UpstreamLoad(name, SLOTS) for name in UPSTREAMS)
+        model = FairModel()
+        model.group = new_group(replace(plan(), fair_sharing=True), model.now)
+        for number in (4, 8, 12, 16, 20, 24, 28, 32, 36, 5):
+            model.send(
+                grant_request(
+                    number, remaining_ms=60_000, target_ms=50_000, other_loads=loads
+                )
+            )
+        self.assertEqual(model.running(), [])
+        model.send(grant_request(40, remaining_ms=60_000, target_ms=50_000))
+        granted = {key.number for key in model.running()}
+        self.assertEqual(len(granted), SLOTS * len(UPSTREAMS))
+        self.assertIn(5, granted)
+
+    def report(self, model, key):
+        upstream = model.granted[key].upstream
+        model.ended[key] = "reported"
+        model.send(AttemptReport(key, "s@r", upstream, Verdict.GOOD, 5))
+
+    def granted_of(self, model, *numbers):
+        return [n for n in numbers if any(key.number == n for key in model.granted)]
+
+
+class CostTests(unittest.TestCase):
+    """Decisions cost the same with few and with many accounts queued."""
+
+    def crowd(self, accounts):
+        patient = replace(PROFILE, max_wait_ms=900_000)
+        fair = replace(plan(), fair_sharing=True, profile=patient)
+        group = new_group(fair, 100.0)
+        for number in range(1, accounts + 1):
+            group = decide(group, self.request(number), 100.0).state
+        return group
+
+    def request(self, number):
+        return grant_request(
+            number,
+            remaining_ms=900_000,
+            target_ms=800_000,
+            client_account=f"a{number}",
+        )
+
+    def test_the_cost_grows_at_most_with_the_logarithm_of_the_queue(self):
+        small, large = self.crowd(100), self.crowd(1600)
+        self.assertGreater(len(large.queue), 1500)
+        few = count_calls(small, self.request(9999), 100.1)
+        many = count_calls(large, self.request(9999), 100.1)
+        # Each of the searches in sorted tuples compares four more turns.
+        self.assertLess(many, few + 60)
+        checks = [count_calls(group, CheckDue(), 100.1) for group in (small, large)]
+        self.assertLess(checks[1], checks[0] * 16 * 1.2)
+
+
+class RefusalTests(unittest.TestCase):
+    # Guards against callers that are told to return at the same moment.
+    def test_refused_callers_return_one_after_another(self):
+        model = FairModel()
+        model.send(PlanChanged(plan()))
+        for number in range(4, 4 * 400, 4):
+            model.send(grant_request(number, remaining_ms=900, target_ms=500))
+        told_ms = [
+            body.retry_after_ms
+            for body in model.ended.values()
+            if body.reason is DenialReason.TOO_LATE
+        ]
+        self.assertGreater(len(told_ms), 200)
+        most = max(
+            sum(when <= other < when + 10 for other in told_ms) for when in told_ms
+        )
+        self.assertLess(most, len(told_ms) * 0.05)
+        self.assertGreater(min(told_ms), 0)
+
+    # Guards against a wrong cause, which would send operators to the wrong account.
+    def test_the_cause_is_what_most_of_the_wait_is_for(self):
+        causes = RefusalCause
+        for own_ms, others_ms, urgent_ms, cause in (
+            (900, 100, 100, causes.OWN_BACKLOG),
+            (100, 900, 100, causes.OTHER_ACCOUNTS),
+            (100, 100, 900, causes.MORE_URGENT),
+            (0, 0, 0, causes.NO_TIME),
+        ):
+            work = WorkAhead(own_ms, others_ms, urgent_ms, 2, False)
+            self.assertIs(cause_of(WaitEstimate(1.0, 0.1, work)), cause)
+
+    # Guards against operators who cannot see that sharing refuses, and why.
+    def test_refusals_are_counted_by_cause_once_a_second(self):
+        times, sent = [100.0], []
+        task = OwnerTask(clock=lambda: times[-1])
+        task.send_message = lambda channel, body: sent.append(body)
+        task.plans = {"s@r": replace(plan(), fair_sharing=True)}
+        for number in range(1, 400):
+            task.handle_grant_request(
+                grant_request(number, remaining_ms=900, target_ms=500)
+            )
+        with contextlib.redirect_stdout(io.StringIO()):
+            for _ in range(2):
+                task.handle_tick(Tick("status", 101.0))
+        counted = [body for body in sent if type(body) is SharingRefused]
+        denials = [body for body in sent if type(body) is GrantDenied]
+        self.assertEqual([body.cause for body in counted], ["own backlog"])
+        self.assertEqual(counted[0].count, len(denials))
+        self.assertGreater(len(denials), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
