--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -101,9 +101,9 @@
     Mutation(
         "requests are not spread while many of them fail",
         "floor",
-        "comfreyusher/owner/_choose.py",
-        "    if spreading and is_idle(upstream, now)",
-        "    if False and is_idle(upstream, now)",
+        "comfreyusher/owner/_load_spreading.py",
+        "    return failed > SPREAD_ABOVE_FAILED_SHARE * (served + failed)",
+        "    return False",
         FAILING,
     ),
     Mutation(
@@ -337,8 +337,8 @@
         "a head without an end is read forever",
         "memory bound",
         "comfreyusher/http/_parse.py",
-        "        if self.no_progress_bytes > MAX_NO_PROGRESS_BYTES:",
-        "        if False:",
+        "            raise HttpError(502, f\"no part of a reply in",
+        "            HttpError(502, f\"no part of a reply in",
         CLIENT,
     ),
     Mutation(
@@ -473,8 +473,8 @@
         "a request that waited for its body keeps a removed key",
         "keys of client accounts",
         "comfreyusher/entry/_body.py",
-        "RELEASE_PIPE = pipe(identify_client_account, begin_attempt)",
-        "RELEASE_PIPE = begin_attempt",
+        "RELEASE_PIPE = pipe(identify_client_account, require_token, begin_attempt)",
+        "RELEASE_PIPE = pipe(require_token, begin_attempt)",
         ACCOUNTS,
     ),
     Mutation(
@@ -557,6 +557,38 @@
         "    return replace(kept, records=(), lost=())",
         ERA,
     ),
+    Mutation(
+        "a response cut during its upload is complete",
+        "whole answer",
+        "comfreyusher/http/_client.py",
+        "        if state.request_ended and not self.unsent_bytes(number):",
+        "        if True:",
+        CLIENT,
+    ),
+    Mutation(
+        "status 600 is a response",
+        "whole answer",
+        "comfreyusher/http/_parse.py",
+        "FINAL_STATUSES = range(200, 600)",
+        "FINAL_STATUSES = range(200, 601)",
+        CLIENT,
+    ),
+    Mutation(
+        "circuits loads pkg_resources",
+        "start",
+        "comfreyusher/flow/_circuits.py",
+        "    sys.modules[PACKAGE] = None",
+        "    pass",
+        "tests.test_startup",
+    ),
+    Mutation(
+        "orders use connections that were idle for long",
+        "reuse of connections",
+        "comfreyusher/entry/_connections.py",
+        "IDEMPOTENT_MAX_IDLE_S if route.idempotent else NON_IDEMPOTENT_MAX_IDLE_S",
+        "IDEMPOTENT_MAX_IDLE_S",
+        "tests.test_connections",
+    ),
 )
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,7 +3,7 @@
 import itertools
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from comfreyusher.flow import Closed, Connected, Received
@@ -302,6 +302,9 @@
 
     # Guards against callers that get 000, 099 or 600 as an answer.
     @given(status=st.integers(0, 999).filter(lambda s: not 100 <= s < 600))
+    @example(status=0)
+    @example(status=99)
+    @example(status=600)
     def test_only_final_statuses_are_responses(self, status):
         self.setUp()
         number = self.send("r1")
