--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -19,6 +19,7 @@
     request_from_next_owner,
     try_other_region,
 )
+from comfreyusher.entry._hedges import handle_hedge_denial
 from comfreyusher.entry._responses import (
     UpstreamResponse,
     continue_stream,
@@ -33,6 +34,7 @@
 from comfreyusher.entry._statements import record_statement
 from comfreyusher.flow import Envelope, end_pipe, replace
 from comfreyusher.messages import (
+    HEDGE_DENIALS,
     ClientRequestCancel,
     DenialReason,
     InterimResponse,
@@ -76,6 +78,8 @@
     if denial.reason in (DenialReason.NOT_OWNER, DenialReason.LEAVING):
         if attempt.owner != state.node:
             return request_from_next_owner(state, request, attempt)
+    if denial.reason in HEDGE_DENIALS:
+        return handle_hedge_denial(state, request, attempt, denial)
     request = replace_attempt(request, replace(attempt, phase=AttemptPhase.ENDED))
     if live_attempts(request):
         return end_pipe(state, request)
--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -160,6 +160,14 @@
         conditions.max_risk,
         client_account=request.client_account.name if request.client_account else "",
         connected_upstreams=find_connected_upstreams(state, group_name, route),
+        hedge=conditions.hedge,
+    )
+
+
+def conditions_of(grant_request):
+    """Return the conditions that a grant request was made with."""
+    return GrantConditions(
+        grant_request.no_wait, grant_request.max_risk, grant_request.hedge
     )
 
 
@@ -233,18 +241,14 @@
         return begin_attempt(state, request)
     group = UpstreamGroup(attempt.grant_request.group, attempt.region)
     tried_owners = attempt.tried_owners
-    conditions = GrantConditions(
-        attempt.grant_request.no_wait, attempt.grant_request.max_risk
-    )
+    conditions = conditions_of(attempt.grant_request)
     return request_grant(state, request, group, conditions, tried_owners)
 
 
 def request_from_first_owner(state, request, attempt):
     """Ask the first owner of a group once more, although it was silent."""
     group = UpstreamGroup(attempt.grant_request.group, attempt.region)
-    conditions = GrantConditions(
-        attempt.grant_request.no_wait, attempt.grant_request.max_risk
-    )
+    conditions = conditions_of(attempt.grant_request)
     regardless = replace(state, silent_owners=immutables.Map())
     step = request_grant(regardless, request, group, conditions)
     state = replace(step.state, silent_owners=state.silent_owners)
--- a/comfreyusher/entry/_grants.py
+++ b/comfreyusher/entry/_grants.py
@@ -64,6 +64,7 @@
         sent_s=state.now_s,
         typical_s=grant.typical_ms / 1000,
         started_ms=grant.started_ms,
+        hedge_after_s=grant.hedge_after_ms / 1000,
     )
     request = replace_attempt(request, attempt)
     if is_refused:
--- a/comfreyusher/entry/_state.py
+++ b/comfreyusher/entry/_state.py
@@ -55,11 +55,13 @@
     """Conditions of an attempt for the upstream that it is granted.
 
     With ``no_wait`` the upstream must have a free slot. Its estimated probability
-    to fail the request must be at most ``max_risk``.
+    to fail the request must be at most ``max_risk``. A ``hedge`` is one beside an
+    attempt that is still running.
     """
 
     no_wait: bool = False
     max_risk: float = 1.0
+    hedge: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +73,9 @@
     or acknowledged, in running seconds. ``tried_owners`` are the owners of the
     group that were asked in turn, this one included. ``typical_s`` is the typical
     time of such requests, 0 if it is not known, ``started_ms`` the Unix time of the
-    upstream's start. ``head`` and ``body_parts`` hold the response so far, and ``said``
+    upstream's start. ``hedge_after_s`` is the age at which a hedge is worth it, 0 if
+    the owner did not tell it, ``hedge_pause_s`` the pause after a hedge that its owner
+    did not allow. ``head`` and ``body_parts`` hold the response so far, and ``said``
     what its head says of itself and of the upstream.
     """
 
@@ -90,6 +94,8 @@
     said: UpstreamHeaders = UpstreamHeaders()
     body_parts: tuple = ()
     size_bytes: int = 0
+    hedge_after_s: float = 0.0
+    hedge_pause_s: float = 0.0
 
     @property
     def key(self):
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -19,6 +19,7 @@
 from comfreyusher.entry._body import add_body, credit_caller, handle_request_credit
 from comfreyusher.entry._grant_requests import live_attempts, repeat_grant_request
 from comfreyusher.entry._grants import handle_grant
+from comfreyusher.entry._hedges import hedge, is_hedge_due
 from comfreyusher.entry._key_refusals import KeyRefusals
 from comfreyusher.entry._log import log_answered
 from comfreyusher.entry._messages import (
@@ -38,8 +39,6 @@
 from comfreyusher.entry._timeouts import (
     end_for_shutdown,
     end_overdue,
-    hedge,
-    is_hedge_due,
     is_overdue,
 )
 from comfreyusher.events import log_info, log_warning
--- a/comfreyusher/entry/_timeouts.py
+++ b/comfreyusher/entry/_timeouts.py
@@ -1,22 +1,13 @@
-"""Decisions that depend on time alone: deadlines and hedges."""
+"""Decisions on requests whose deadline has passed, and at shutdown."""
 
 from comfreyusher.entry._attempt_ends import cancel_all
 from comfreyusher.entry._attempts import TIMEOUT_STATUS
-from comfreyusher.entry._grant_requests import (
-    choose_group,
-    live_attempts,
-    max_sends,
-    request_grant,
-)
+from comfreyusher.entry._grant_requests import live_attempts
 from comfreyusher.entry._responses import send_error, send_held_response
-from comfreyusher.entry._state import AttemptPhase, GrantConditions
-from comfreyusher.flow import end_pipe, replace
+from comfreyusher.entry._state import AttemptPhase
+from comfreyusher.flow import end_pipe
 from comfreyusher.messages import Outcome, Verdict
 
-HEDGE_DELAY_FACTOR = 2.5
-MIN_HEDGE_DELAY_S = 0.25
-HEDGE_RETRY_DELAY_S = 0.25
-MAX_ATTEMPTS_WITH_HEDGES = 8  # leaves some for retries
 RESPONSE_GRACE_S = 0.1
 STREAM_GRACE_S = 0.4
 
@@ -74,59 +65,3 @@
         return STREAM_GRACE_S
     waits_for_upstream = any(a.phase is AttemptPhase.SENT for a in request.attempts)
     return RESPONSE_GRACE_S if waits_for_upstream else 0.0
-
-
-def is_hedge_due(state, request):
-    """Tell whether a slow attempt should be hedged with a second upstream."""
-    if not request.match.route.idempotent or request.sends + 1 >= max_sends(request):
-        return False
-    live = live_attempts(request)
-    if (
-        len(live) != 1
-        or live[0].phase is not AttemptPhase.SENT
-        or live[0].head is not None
-    ):
-        return False
-    attempt = live[0]
-    if not _may_hedge_now(state, request, attempt):
-        return False
-    waited_s = state.now_s - attempt.sent_s
-    if not attempt.typical_s or request.body_released:
-        return False
-    if request.deadline_s - state.now_s < attempt.typical_s / 2:
-        return False
-    return waited_s > max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * attempt.typical_s)
-
-
-def _may_hedge_now(state, request, attempt):
-    """Tell whether no second upstream was granted, and none denied just now.
-
-    All slots may be in use when the first hedge is denied.
-    """
-    later = request.attempts[attempt.grant_request.attempt :]
-    if not later:
-        return True
-    if any(hedged.upstream for hedged in later):
-        return False
-    if len(request.attempts) >= MAX_ATTEMPTS_WITH_HEDGES:
-        return False
-    return state.running_s - later[-1].last_contact_s >= HEDGE_RETRY_DELAY_S
-
-
-def hedge(state, request):
-    """Request a second upstream, one with a free slot."""
-    first = live_attempts(request)[0]
-    group = choose_group(state, request)
-    if group is None:
-        return end_pipe(state, request)
-    tried_upstreams = request.tried_upstreams
-    request = replace(
-        request,
-        tried_upstreams=(*tried_upstreams, first.upstream),
-        sends=request.sends + 1,
-    )
-    step = request_grant(state, request, group, GrantConditions(no_wait=True))
-    request = replace(
-        step.item, tried_upstreams=tried_upstreams, sends=step.item.sends - 1
-    )
-    return end_pipe(step.state, request, *step.messages)
--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -49,6 +49,7 @@
     MemberStanding,
 )
 from comfreyusher.messages._grants import (
+    HEDGE_DENIALS,
     NOT_RUN_VERDICTS,
     UNKNOWN_LIMIT,
     AttemptKey,
@@ -78,6 +79,7 @@
 )
 
 __all__ = [
+    "HEDGE_DENIALS",
     "NOT_RUN_VERDICTS",
     "UNKNOWN_LIMIT",
     "AcquittalNotice",
--- a/comfreyusher/messages/_grants.py
+++ b/comfreyusher/messages/_grants.py
@@ -48,6 +48,18 @@
     NOT_OWNER = "this node does not serve the group"
     LEAVING = "the owner of the group is leaving"
     TOO_RISKY = "every free upstream would probably fail the request"
+    HEDGE_OVER_SHARE = "the share of hedges is spent"
+    HEDGE_NO_ROOM = "the upstreams are short of room for hedges"
+    HEDGE_NOT_ALLOWED = "this owner may not hedge this request"
+
+
+HEDGE_DENIALS = frozenset(
+    (
+        DenialReason.HEDGE_OVER_SHARE,
+        DenialReason.HEDGE_NO_ROOM,
+        DenialReason.HEDGE_NOT_ALLOWED,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +95,7 @@
     of the group by grants of other owners. ``client_account`` is the name of the
     caller's client account, or empty; the rank in ``priority`` includes its priority.
     ``connected_upstreams`` are upstreams that the entry node has idle connections to.
+    A ``hedge`` is for a request that another upstream is still running.
     """
 
     node: str
@@ -110,6 +123,7 @@
     other_loads: tuple[UpstreamLoad, ...] = ()
     client_account: str = ""
     connected_upstreams: tuple[str, ...] = ()
+    hedge: bool = False
 
     @property
     def key(self):
@@ -132,7 +146,8 @@
     the request, ``typical_ms`` the usual time of such requests, 0 if it is not
     known. ``started_ms`` is the Unix time of the upstream's start. ``limit_per_s`` is
     the limit of requests per second that the upstream names, 0 if it names none, and
-    ``UNKNOWN_LIMIT`` if the owner has not seen a response of it yet.
+    ``UNKNOWN_LIMIT`` if the owner has not seen a response of it yet. The request is
+    worth a hedge after ``hedge_after_ms``; 0 leaves that to the entry node.
     """
 
     key: AttemptKey
@@ -144,11 +159,15 @@
     typical_ms: int
     started_ms: int = 0
     limit_per_s: float = 0.0
+    hedge_after_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Denial:
-    """Deny an upstream to an attempt, which has not run."""
+    """Deny an upstream to an attempt, which has not run.
+
+    A denied hedge is not requested again before ``retry_after_ms``.
+    """
 
     key: AttemptKey
     reason: DenialReason
--- a/comfreyusher/node/_plans.py
+++ b/comfreyusher/node/_plans.py
@@ -112,11 +112,11 @@
     return departed
 
 
-def derive_plans(state, table, fair_sharing=False):
+def derive_plans(state, table, **fields):
     """Return the state with a plan for every group that has upstreams.
 
-    A plan whose profile, slots, slack, sharing and upstreams are unchanged is kept as
-    it is.
+    ``fields`` are those of ``Plan`` that are the same for all groups. A plan that is
+    unchanged is kept as it is.
     """
     group_counts = {}
     for group, specs in state.specs_by_group.items():
@@ -136,7 +136,7 @@
             * RETRY_SLACK_SAFETY_FACTOR
             / group_counts[service]
         )
-        plan = Plan(group, profile, slots, (), slack, fair_sharing)
+        plan = Plan(group, profile, slots, (), slack, **fields)
         plans[group] = _derive_plan(state, plan, specs)
     return dataclasses.replace(
         state, plans=immutables.Map(plans), planned_specs=immutables.Map(planned_specs)
--- a/comfreyusher/node/_profile.py
+++ b/comfreyusher/node/_profile.py
@@ -4,7 +4,7 @@
 
 from comfreyusher.declarations import Detection, Profile, Retries
 from comfreyusher.routing import DEFAULT_PROFILE
-from comfreyusher.settings import parse_duration_ms
+from comfreyusher.settings import Switch, parse_duration_ms
 
 # Keeps retries below the configured share although owners count requests in time
 # buckets and the owner of a group may change within the window.
@@ -31,6 +31,15 @@
     )
 
 
+def plan_fields(fleet):
+    """Return the settings that every plan hands to the owner of its group."""
+    return {
+        "fair_sharing": fleet.fair_sharing is Switch.ON,
+        "hedge_share": fleet.hedge_share,
+        "hedge_burst": fleet.hedge_burst,
+    }
+
+
 def find_seed_addresses(settings):
     """Return the addresses that seeds listen on for datagrams.
 
--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -34,7 +34,7 @@
     update_departures,
     update_upstream_specs,
 )
-from comfreyusher.node._profile import default_profile, find_seed_addresses
+from comfreyusher.node._profile import default_profile, find_seed_addresses, plan_fields
 from comfreyusher.node._shutdown_times import derive_shutdown_times
 from comfreyusher.operators import NodeStatus
 from comfreyusher.owner import Ejected, LeaveGroups, PlansUpdated, Quarantined
@@ -45,7 +45,6 @@
     has_routes,
     update_table,
 )
-from comfreyusher.settings import Switch
 from comfreyusher.telemetry import UpstreamEjected
 
 CHANNEL = "node"
@@ -189,8 +188,8 @@
         self._send_node_view()
 
     def _update_plans(self):
-        fair_sharing = self.settings.fleet.fair_sharing is Switch.ON
-        self.plan_state = derive_plans(self.plan_state, self.table, fair_sharing)
+        fields = plan_fields(self.settings.fleet)
+        self.plan_state = derive_plans(self.plan_state, self.table, **fields)
         self.send_message("owner", PlansUpdated(self.plan_state.plans))
         self._send_node_view()
 
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -15,6 +15,12 @@
     refresh_candidate,
 )
 from comfreyusher.owner._handover_load import record_load
+from comfreyusher.owner._hedges import (
+    count_hedgeable,
+    find_hedge_delay_ms,
+    refuse_hedge,
+    spend_hedge,
+)
 from comfreyusher.owner._load_shedding import estimate_wait, is_too_late, retry_after_ms
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._queue import count_queued_short, dequeue, enqueue
@@ -28,6 +34,7 @@
 SECOND_OWNER_SLACK = 2
 FIRST_ATTEMPT = 1
 BUDGET_RETRY_AFTER_MS = 500
+HEDGE_RETRY_AFTER_MS = 500
 NO_UPSTREAM_RETRY_AFTER_S = 0.5
 
 
@@ -111,6 +118,14 @@
     return continue_pipe(group, arrival)
 
 
+def deny_hedge(group, arrival):
+    """Deny a hedge beyond the share of hedges, or while room is short."""
+    reason = refuse_hedge(group, arrival.attempt.request, arrival.now)
+    if reason is not None:
+        return deny(group, arrival.attempt, reason, HEDGE_RETRY_AFTER_MS)
+    return continue_pipe(count_hedgeable(group, arrival.attempt.request), arrival)
+
+
 def is_over_budget(group, request, now):
     """Tell whether the request is a retry that the retry budget does not allow."""
     if not request.prior_sends:
@@ -171,6 +186,7 @@
     deny_quarantined,
     deny_without_upstream,
     deny_over_budget,
+    deny_hedge,
     deny_late,
     join_queue,
 )
@@ -263,7 +279,7 @@
     if attempt.request.prior_sends:
         retry_budget = count_event(group.retry_budget, marked=True, now=now)
         group = replace(group, retry_budget=retry_budget)
-    group = dequeue(group, attempt)
+    group = spend_hedge(dequeue(group, attempt), attempt.request)
     upstream = choice.upstream
     attempt = replace(
         attempt,
@@ -297,4 +313,5 @@
         int(typical_s * 1000),
         upstream.started_ms,
         limit_to_tell(upstream),
+        find_hedge_delay_ms(group, attempt.request),
     )
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -12,6 +12,7 @@
     record_success,
 )
 from comfreyusher.messages import NOT_RUN_VERDICTS, ReportAck, Verdict
+from comfreyusher.owner._hedges import record_route_time
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._poison_requests import clear_suspect, record_crash
 from comfreyusher.owner._queue import dequeue
@@ -44,7 +45,7 @@
     ack = to_entry_node(ReportAck(report.key))
     attempt = group.attempts.get(report.key)
     if attempt is not None:
-        group = end_attempt(group, attempt)
+        group = record_route_time(end_attempt(group, attempt), attempt, report)
     elif not report.upstream:
         return end_pipe(group, None, ack)
     if report.upstream in group.upstreams:
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -47,7 +47,9 @@
 
     ``configured_slots`` are the slots that the floor is a share of.
     ``budget_slack`` is the group's part of the retry slack of its service. With
-    ``fair_sharing`` the flows of a rank share the group when room is short.
+    ``fair_sharing`` the flows of a rank share the group when room is short. Hedges are
+    at most ``hedge_share`` of the idempotent requests and ``hedge_burst`` beyond that;
+    without a share only the retry budget limits them.
     """
 
     group: str
@@ -56,6 +58,8 @@
     upstream_specs: tuple = ()
     budget_slack: int = 0
     fair_sharing: bool = False
+    hedge_share: float | None = None
+    hedge_burst: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +176,8 @@
     fingerprints to ``SuspectRequest``, ``quarantine`` maps them to the end of their
     quarantine. ``other_loads`` maps entry nodes to the ``NodeLoad`` that other owners
     granted them. No upstream refuses any node from ``refusals_until_s`` on.
+    ``hedge_tokens`` is how many hedges are allowed now, ``route_times`` maps routes to
+    their ``RouteTimes``; both are in use only with a share of hedges.
     """
 
     plan: Plan
@@ -196,6 +202,8 @@
     quarantine: immutables.Map = immutables.Map()
     other_loads: immutables.Map = immutables.Map()
     refusals_until_s: float = 0.0
+    hedge_tokens: float = 0.0
+    route_times: immutables.Map = immutables.Map()
     ejected_total: int = 0
     denied_total: int = 0
 
--- a/comfreyusher/settings/_model.py
+++ b/comfreyusher/settings/_model.py
@@ -280,6 +280,14 @@
         "On: client accounts and routes of a rank share a service by their work "
         "when room is short.",
     )
+    hedge_share: Fraction | None = optional_field(
+        None,
+        "Hedges of a group as a share of its idempotent requests; 0: none, null: "
+        "limited by the retries only.",
+    )
+    hedge_burst: PositiveInt = optional_field(
+        10, "Hedges of a group allowed at once beyond that share."
+    )
     quota_window: Duration = optional_field(
         "5s", "Window in which the rate of a client account is counted."
     )
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -148,7 +148,7 @@
     Mutation(
         "a request that is not idempotent gets a hedge",
         "at most once",
-        "comfreyusher/entry/_timeouts.py",
+        "comfreyusher/entry/_hedges.py",
         "    if not request.match.route.idempotent or request.sends",
         "    if request.sends",
         ENTRY,
