--- a/comfreyusher/owner/_hedges.py
+++ b/comfreyusher/owner/_hedges.py
@@ -15,7 +15,7 @@
 from comfreyusher.owner._load_spreading import do_many_requests_fail
 from comfreyusher.owner._route_times import RouteTimes, add_time
 
-MIN_FREE_SHARE = 0.2
+MIN_FREE_SHARE = 0.1
 NO_TIMES = RouteTimes()
 
 
--- a/comfreyusher/owner/_route_times.py
+++ b/comfreyusher/owner/_route_times.py
@@ -1,14 +1,12 @@
 """Recent durations of a route, and the delay after which a hedge is worth its work."""
 
 import dataclasses
-import math
 
 MAX_TIMES = 256
 MIN_TIMES = 40
 REFRESH_AFTER = 16
-# Beyond the last percent, so few of the recent durations are left that the delay would
-# depend on single ones; below the median most requests would be sent twice.
-MIN_QUANTILE, MAX_QUANTILE = 0.5, 0.99
+MIN_QUANTILE = 0.5  # most requests would be sent twice after a shorter delay
+MIN_OLDER_TIMES = 3  # a single long duration says little about the next ones
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,27 +46,26 @@
 
 
 def find_delay_ms(times, share):
-    """Return the delay that at most ``share`` of the times exceed, or 0.
+    """Return the delay at which hedges save most time per request, or 0 if none do.
 
-    It is 0 if a second attempt, which takes the median time, would usually end after
-    the first one.
+    Of the attempts older than a delay, at most ``share`` of all can be hedged. Each
+    hedge saves what the first attempt would still need beyond the median, which a
+    second one takes.
     """
     ordered = sorted(times, key=lambda time: time.took_ms)
-    quantile = min(MAX_QUANTILE, max(MIN_QUANTILE, 1.0 - share))
-    delay_ms = ordered[math.ceil(quantile * len(ordered)) - 1].took_ms
-    median_ms = ordered[len(ordered) // 2].took_ms
-    if mean_remaining_ms(ordered, delay_ms) < median_ms:
-        return 0
-    return max(1, delay_ms)
-
-
-def mean_remaining_ms(times, delay_ms):
-    """Return how long an attempt is expected to run on after ``delay_ms``.
-
-    Cancelled attempts would have run for longer than was seen. So the time seen beyond
-    the delay is divided by the number of attempts that were completed there, as for
-    censored observations of a constant rate.
-    """
-    later = [time for time in times if time.took_ms > delay_ms]
-    completed = sum(time.completed for time in later)
-    return sum(time.took_ms - delay_ms for time in later) / max(1, completed)
+    count = len(ordered)
+    median_ms = ordered[count // 2].took_ms
+    best_ms, best_saved_ms = 0, 0.0
+    later_ms, completed = 0, 0
+    for index in range(count - 1, int(MIN_QUANTILE * count), -1):
+        later_ms += ordered[index].took_ms
+        completed += ordered[index].completed
+        older = count - index
+        delay_ms = ordered[index - 1].took_ms
+        if older < MIN_OLDER_TIMES:
+            continue
+        remaining_ms = (later_ms - older * delay_ms) / max(1, completed)
+        saved_ms = min(share, older / count) * (remaining_ms - median_ms)
+        if saved_ms > best_saved_ms:
+            best_ms, best_saved_ms = max(1, delay_ms), saved_ms
+    return best_ms
--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -12,6 +12,7 @@
     record_tick,
 )
 from comfreyusher.messages import (
+    HEDGE_DENIALS,
     AttemptReport,
     Denial,
     DenialReason,
@@ -22,6 +23,7 @@
     Verdict,
 )
 from comfreyusher.owner._decide import decide
+from comfreyusher.owner._hedge_counts import HedgeCounts
 from comfreyusher.owner._messages import DATAGRAMS_CHANNEL, CheckDue, Leave, PlanChanged
 from comfreyusher.owner._periodic_checks import CHECK_PERIOD_S
 from comfreyusher.owner._state import new_group
@@ -72,6 +74,9 @@
         self.leaving = False
         self.started_s = self.clock()
         self.tick_monitor = TickMonitor(self.started_s)
+        self.hedge_counts = HedgeCounts(
+            lambda channel, body: self.send_message(channel, body)
+        )
         self.message_handlers = {
             GrantRequest: self.handle_grant_request,
             AttemptReport: self.handle_attempt_report,
@@ -144,6 +149,7 @@
         if tick.name == "status":
             self.send_message("operators", OwnerStatus(tuple(self.groups.values())))
             self._log_usage()
+            self.hedge_counts.log(self.groups)
             return
         self.tick_monitor = record_tick(self.tick_monitor, self.clock(), CHECK_PERIOD_S)
         active = False
@@ -173,7 +179,10 @@
         before = self.groups[name]
         step = decide(before, body, self.clock())
         self.groups[name] = step.state
+        if type(body) is GrantRequest:
+            self.hedge_counts.count_decision(before, body, step.messages)
         if type(body) is AttemptReport:
+            self.hedge_counts.count_report(before, body)
             self._log_limit(before, step.state, body)
             measurement = AttemptEnded(body.upstream, body.verdict.value)
             self.send_message("telemetry", measurement)
@@ -235,6 +244,8 @@
         if type(body) is Denial:
             measurement = GrantDenied(group.plan.group, body.reason.value)
             self.send_message("telemetry", measurement)
+            if body.reason in HEDGE_DENIALS:
+                return  # counted in the line of the group's hedges
             log_info(
                 PART,
                 "denied",
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -66,6 +66,15 @@
     undecided: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeCounted:
+    """A hedge was granted, denied for a reason, or won against the first attempt."""
+
+    group: str
+    result: str
+    reason: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/comfreyusher/telemetry/_meters.py
+++ b/comfreyusher/telemetry/_meters.py
@@ -74,7 +74,9 @@
         self.denials = meter.create_counter(
             "comfreyusher.denials", "1", "Attempts without an upstream by reason."
         )
-
+        self.hedges = meter.create_counter(
+            "comfreyusher.hedges", "1", "Hedges by group, result and reason."
+        )
         self.unreadable = meter.create_counter(
             "comfreyusher.unreadable_headers",
             "1",
@@ -131,6 +133,16 @@
         }
         self.denials.add(1, attributes)
 
+    def count_hedge(self, hedge):
+        """Count a hedge that was granted, denied, or won."""
+        attributes = {
+            "comfreyusher.group": hedge.group,
+            "comfreyusher.result": hedge.result,
+        }
+        if hedge.reason:
+            attributes["comfreyusher.reason"] = hedge.reason
+        self.hedges.add(1, attributes)
+
     def count_unreadable(self, headers):
         """Count the headers of a response whose value was ignored."""
         for name in headers.names:
--- a/comfreyusher/telemetry/_task.py
+++ b/comfreyusher/telemetry/_task.py
@@ -9,6 +9,7 @@
     AttemptEnded,
     GrantDenied,
     HeadersUnreadable,
+    HedgeCounted,
     KeysRefused,
     RequestMeasured,
     SpanEnded,
@@ -56,6 +57,7 @@
             AttemptEnded: self.handle_measurement,
             GrantDenied: self.handle_measurement,
             HeadersUnreadable: self.handle_measurement,
+            HedgeCounted: self.handle_measurement,
             KeysRefused: self.handle_measurement,
             SpanEnded: self.handle_span_ended,
             Tick: self.load_meters,
@@ -89,6 +91,7 @@
             AttemptEnded: self.meters.count_attempt,
             GrantDenied: self.meters.count_denial,
             HeadersUnreadable: self.meters.count_unreadable,
+            HedgeCounted: self.meters.count_hedge,
             KeysRefused: self.meters.count_key_refusals,
             SpanEnded: self.meters.export_span,
         }
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -217,11 +217,15 @@
             if isinstance(body, Grant):
                 self.dispatch(body)
             elif isinstance(body, Denial):
-                self.end_request(self.pending.pop(body.key), "refused")
+                self.handle_denial(body)
             elif not isinstance(body, QueuedAck | ReportAck):
                 for hook in self.hooks:
                     hook(body)
 
+    def handle_denial(self, denial):
+        """End a request that got no upstream."""
+        self.end_request(self.pending.pop(denial.key), "refused")
+
     def lose_nodes(self, seconds):
         """Lose all nodes for a time: their requests, and what the owner knew."""
         self.lost_until_s = self.now + seconds
