--- a/comfreyusher/owner/_hedges.py
+++ b/comfreyusher/owner/_hedges.py
@@ -14,6 +14,7 @@
 from comfreyusher.owner._known_failing import find_known_failing
 from comfreyusher.owner._load_spreading import do_many_requests_fail
 from comfreyusher.owner._route_times import RouteTimes, add_time
+from comfreyusher.owner._stalls import is_stall_due, record_stall
 
 MIN_FREE_SHARE = 0.1
 NO_TIMES = RouteTimes()
@@ -70,7 +71,7 @@
     return replace(group, hedge_tokens=max(0.0, group.hedge_tokens - 1.0))
 
 
-def record_route_time(group, attempt, report):
+def record_route_time(group, attempt, report, now):
     """Return the group after the report of a granted attempt of a request.
 
     Hedges are left out: they tell how long chosen upstreams take, and those that lose
@@ -84,10 +85,25 @@
         return group
     times = group.route_times.get(request.route_key, NO_TIMES)
     completed = report.verdict is Verdict.GOOD
+    if not completed and report.took_ms >= times.hedge_after_ms > 0:
+        group = record_lost_race(group, attempt, report.took_ms / 1000, now)
     times = add_time(times, report.took_ms, completed, share)
     return replace(group, route_times=group.route_times.set(request.route_key, times))
 
 
+def record_lost_race(group, attempt, took_s, now):
+    """Return the group after an attempt was slower than its hedge.
+
+    Hedges that begin early end attempts before their age counts as a stall, and would
+    hide a slow upstream from the choice of upstreams. So a lost race is a stall.
+    """
+    if attempt.upstream not in group.upstreams or attempt.stalls:
+        return group
+    if is_stall_due(group, attempt, took_s):
+        return group  # counted by the report of the cancelled attempt
+    return record_stall(group, attempt, now)
+
+
 def find_hedge_delay_ms(group, request):
     """Return the delay after which the request is worth a hedge; 0: not known."""
     if not group.plan.hedge_share or not request.idempotent:
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -45,7 +45,7 @@
     ack = to_entry_node(ReportAck(report.key))
     attempt = group.attempts.get(report.key)
     if attempt is not None:
-        group = record_route_time(end_attempt(group, attempt), attempt, report)
+        group = record_route_time(end_attempt(group, attempt), attempt, report, now)
     elif not report.upstream:
         return end_pipe(group, None, ack)
     if report.upstream in group.upstreams:
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -35,6 +35,7 @@
 FEEDS = "tests.test_feeds"
 CLIENT = "tests.test_http_client"
 ACCOUNTS = "tests.test_client_accounts"
+HEDGES = "tests.test_pattern_hedges"
 FAILING = "tests.test_pattern_failing_for_seconds"
 OVERLOAD = "tests.test_pattern_crest"
 REGION = "tests.test_pattern_region_failing"
@@ -153,6 +154,22 @@
         "    if request.sends",
         ENTRY,
     ),
+    Mutation(
+        "hedges are granted beyond their share",
+        "limit on hedges",
+        "comfreyusher/owner/_hedges.py",
+        "    if group.hedge_tokens < 1.0:",
+        "    if False:",
+        HEDGES,
+    ),
+    Mutation(
+        "hedges are granted while requests are queued or fail",
+        "limit on hedges",
+        "comfreyusher/owner/_hedges.py",
+        "    if group.queue or do_many_requests_fail(group, now):",
+        "    if False:",
+        HEDGES,
+    ),
     Mutation(
         "a request that may have run is reported as not run",
         "not run",
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -19,7 +19,9 @@
     derive_plans,
     update_upstream_specs,
 )
+from comfreyusher.node._profile import plan_fields
 from comfreyusher.routing import RoutingTable, update_table
+from comfreyusher.settings import FleetSettings
 
 ENTRIES = st.builds(
     lambda number, service, centre, status: RegisteredUpstream(
@@ -99,6 +101,18 @@
         state = derive_plans(state, table(wait_ms=9))
         self.assertEqual({p.profile.max_wait_ms for p in state.plans.values()}, {9})
 
+    # Guards against owners that keep the limit on hedges of earlier settings.
+    def test_settings_of_the_fleet_reach_every_plan(self):
+        entry = RegisteredUpstream("u", "s", "h", 1, "d1", 4)
+        state = update_upstream_specs(PlanState(), (entry,), REGIONS, "r1", 1.0)
+        state = derive_plans(state, table(), **plan_fields(FleetSettings()))
+        (plan,) = state.plans.values()
+        self.assertEqual((plan.fair_sharing, plan.hedge_share), (False, None))
+        fleet = FleetSettings(hedge_share=0.05, hedge_burst=7)
+        state = derive_plans(state, table(), **plan_fields(fleet))
+        (plan,) = state.plans.values()
+        self.assertEqual((plan.hedge_share, plan.hedge_burst), (0.05, 7))
+
     # Guards against a service that gets its whole retry slack once per region.
     def test_groups_share_the_slack_of_a_service(self):
         entries = [
