--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -257,7 +257,8 @@
             unlisted=False,
         )
         upstreams = upstreams.set(name, current)
-    return replace(group, plan=plan, upstreams=upstreams)
+    hedge_tokens = min(group.hedge_tokens, plan.hedge_burst)
+    return replace(group, plan=plan, upstreams=upstreams, hedge_tokens=hedge_tokens)
 
 
 def _new_upstream(plan, spec, now, new_owner):
--- a/tests/test_pattern_hedges.py
+++ b/tests/test_pattern_hedges.py
@@ -3,11 +3,12 @@
 import collections
 import functools
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from comfreyusher.flow import replace
+from comfreyusher.flow import Tick, replace
 from comfreyusher.messages import (
     HEDGE_DENIALS,
     AttemptReport,
@@ -19,7 +20,7 @@
     ToNode,
     Verdict,
 )
-from comfreyusher.owner import OwnerTask, PlansUpdated, decide, new_group
+from comfreyusher.owner import OwnerTask, PlanChanged, PlansUpdated, decide, new_group
 from comfreyusher.owner._route_times import MAX_TIMES, RouteTime, find_delay_ms
 from comfreyusher.telemetry import HedgeCounted
 from tests.hedging import HedgingSimulation
@@ -251,6 +252,15 @@
     def test_a_new_owner_has_no_burst(self):
         self.assertIs(Owner().hedge().reason, DenialReason.HEDGE_OVER_SHARE)
 
+    # Guards against a lowered burst that owners exceed by what they had allowed.
+    def test_a_lowered_burst_holds_at_once(self):
+        owner = Owner(share=1.0, burst=50)
+        owner.serve(60)
+        lowered = PlanChanged(replace(owner.plan, hedge_burst=2))
+        owner.group = decide(owner.group, lowered, owner.now).state
+        found = [type(owner.hedge()) for _ in range(4)]
+        self.assertEqual(found, [Grant, Grant, Denial, Denial])
+
     # Guards against hedges beside requests that many upstreams fail.
     def test_no_hedge_is_granted_while_many_requests_fail(self):
         owner = Owner()
@@ -281,6 +291,12 @@
         self.assertEqual(
             counted, [("granted", ""), ("denied", over_share), ("won", "")]
         )
+        with mock.patch("comfreyusher.owner._hedge_counts.log_info") as log:
+            task.handle_tick(Tick("status", 101.0))
+            task.handle_tick(Tick("status", 102.0))
+        (line,) = [call.kwargs for call in log.call_args_list]
+        self.assertEqual((line["granted"], line["won"]), (1, 1))
+        self.assertEqual(line["denied"], {over_share: 1})
 
 
 class DelayTests(unittest.TestCase):
