--- a/comfreyusher/messages/__init__.py
+++ b/comfreyusher/messages/__init__.py
@@ -51,6 +51,7 @@
     MemberStanding,
 )
 from comfreyusher.messages._grants import (
+    HEDGE_DENIALS,
     NOT_RUN_VERDICTS,
     UNKNOWN_LIMIT,
     AttemptKey,
@@ -88,6 +89,7 @@
 )
 
 __all__ = [
+    "HEDGE_DENIALS",
     "AcquittalNotice",
     "AttemptKey",
     "AttemptReport",
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -15,6 +15,12 @@
 )
 from comfreyusher.owner._fair_queue import is_light
 from comfreyusher.owner._handover_load import record_load
+from comfreyusher.owner._hedges import (
+    count_hedgeable,
+    find_hedge_delay_ms,
+    refuse_hedge,
+    spend_hedge,
+)
 from comfreyusher.owner._load_shedding import (
     estimate_wait,
     find_certain_delay,
@@ -40,6 +46,7 @@
 SECOND_OWNER_SLACK = 2
 FIRST_ATTEMPT = 1
 BUDGET_RETRY_AFTER_MS = 500
+HEDGE_RETRY_AFTER_MS = 250
 NO_UPSTREAM_RETRY_AFTER_S = 0.5
 
 
@@ -65,7 +72,9 @@
         queued_s=now,
         cost_ms=expected_cost_ms(group, request) if group.plan.fair_sharing else 0,
     )
-    step = ADMISSION_PIPE(group, Arrival(attempt, now))
+    hedging = group.plan.hedge_share is not None
+    admit = HEDGING_ADMISSION_PIPE if hedging else ADMISSION_PIPE
+    step = admit(group, Arrival(attempt, now))
     if step.ended:
         return step
     granted = grant_queued(step.state, now)
@@ -124,6 +133,14 @@
     return continue_pipe(group, arrival)
 
 
+def deny_hedge(group, arrival):
+    """Deny a hedge beyond the share of hedges, or while room is short."""
+    reason = refuse_hedge(group, arrival.attempt.request, arrival.now)
+    if reason is not None:
+        return deny(group, arrival.attempt, reason, HEDGE_RETRY_AFTER_MS)
+    return continue_pipe(count_hedgeable(group, arrival.attempt.request), arrival)
+
+
 def is_over_budget(group, request, now):
     """Tell whether the request is a retry that the retry budget does not allow."""
     if not request.prior_sends:
@@ -193,6 +210,14 @@
     deny_late,
     join_queue,
 )
+HEDGING_ADMISSION_PIPE = pipe(
+    deny_quarantined,
+    deny_without_upstream,
+    deny_over_budget,
+    deny_hedge,
+    deny_late,
+    join_queue,
+)
 
 
 def deny(group, attempt, reason, retry_after_ms=0):
@@ -280,7 +305,7 @@
     if attempt.request.prior_sends:
         retry_budget = count_event(group.retry_budget, marked=True, now=now)
         group = replace(group, retry_budget=retry_budget)
-    group = dequeue_granted(group, attempt)
+    group = spend_hedge(dequeue_granted(group, attempt), attempt.request)
     upstream = choice.upstream
     attempt = replace(
         attempt,
@@ -314,4 +339,5 @@
         int(typical_s * 1000),
         upstream.started_ms,
         limit_to_tell(upstream),
+        find_hedge_delay_ms(group, attempt.request),
     )
--- a/comfreyusher/owner/_reports.py
+++ b/comfreyusher/owner/_reports.py
@@ -13,6 +13,7 @@
 )
 from comfreyusher.messages import NOT_RUN_VERDICTS, ReportAck, Verdict
 from comfreyusher.owner._fair_queue import correct_cost
+from comfreyusher.owner._hedges import record_route_time
 from comfreyusher.owner._messages import to_entry_node
 from comfreyusher.owner._poison_requests import clear_suspect, record_crash
 from comfreyusher.owner._queue import dequeue
@@ -45,7 +46,7 @@
     ack = to_entry_node(ReportAck(report.key))
     attempt = group.attempts.get(report.key)
     if attempt is not None:
-        group = end_attempt(group, attempt)
+        group = record_route_time(end_attempt(group, attempt), attempt, report, now)
         if group.plan.fair_sharing and attempt.upstream:
             queue = correct_cost(group.queue, attempt, report.took_ms)
             group = replace(group, queue=queue)
--- a/comfreyusher/telemetry/_messages.py
+++ b/comfreyusher/telemetry/_messages.py
@@ -102,6 +102,15 @@
     levels: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeCounted:
+    """A hedge was granted, denied for a reason, or won against the first attempt."""
+
+    group: str
+    result: str
+    reason: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEjected:
     """An owner has ejected an upstream."""
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -247,11 +247,15 @@
             if isinstance(body, Grant):
                 self.dispatch(body)
             elif isinstance(body, Denial):
-                self.refuse(self.pending.pop(body.key), body.retry_after_ms / 1000)
+                self.handle_denial(body)
             elif not isinstance(body, QueuedAck | ReportAck):
                 for hook in self.hooks:
                     hook(body)
 
+    def handle_denial(self, denial):
+        """Refuse a request that got no upstream."""
+        self.refuse(self.pending.pop(denial.key), denial.retry_after_ms / 1000)
+
     def refuse(self, request, retry_after_s):
         """End a refused request, or let its caller send it again later."""
         request.refusals.append((self.now, retry_after_s))
