--- a/comfreyusher/quota/_alone.py
+++ b/comfreyusher/quota/_alone.py
@@ -4,6 +4,8 @@
 all nodes that may be cut off is bounded; docs/design/quotas.md adds it up.
 """
 
+import dataclasses
+
 import xxhash
 
 from comfreyusher.flow import replace
@@ -20,22 +22,30 @@
 DENIED_KEPT_S = 60.0
 # The first tokens of all nodes in this part of the fleet stay within the slack.
 CUT_OFF_PART = 0.1
+CUT_OFF_PARTS = {
+    SAME_DATA_CENTRE_SHARE: 0.1,
+    SAME_REGION_SHARE: 0.25,
+    OTHER_REGION_SHARE: 0.5,
+}
+# The nodes that may spend one in a fleet of four data centres whose holder is dead.
+FIRST_PART = 0.42
 FIRST_TOKEN_SLACK_SHARE = 0.5
 CUT_OFF_AFTER_S = 2.0
 MIN_SILENT = 2
+# Other nodes send several messages a second to each node under load.
+LONELY_AFTER_S = 0.6
+FIRST_TOKEN_MARGIN_S = 0.5
 
 
 def begin_alone(tokens, view, account, holder, rate_per_s, now):
     """Return the tokens of an account whose holder does not answer from now on."""
     if tokens.alone_since_s is not None:
         return tokens
-    is_again = tokens.alone_s is not None and now - tokens.alone_s < view.window_s
-    level = tokens.alone if is_again else _first_tokens(tokens, view, account, now)
     steady = account.rate_per_s * view.window_s
     usual = steady / (steady + account.burst)
     return replace(
         tokens,
-        alone=level,
+        alone=0.0 if _is_forgotten(tokens, view, now) else tokens.alone,
         alone_s=now,
         alone_since_s=now,
         alone_rate_per_s=rate_per_s * usual * _find_share(view, holder),
@@ -49,21 +59,40 @@
     return replace(tokens, alone_since_s=None)
 
 
-def _first_tokens(tokens, view, account, now):
-    """Return 1 or 0: most nodes have had no request of an account for a while.
+def _is_forgotten(tokens, view, now):
+    return tokens.alone_s is None or now - tokens.alone_s > view.window_s
+
+
+def _may_spend_first(tokens, view, account, holder, lonely, now):
+    """Tell whether this node may spend the one token that a window allows it.
 
-    In a large fleet only some nodes may spend a first token, by a hash. None may for
-    an account that was over its rate, and none soon after a start: a whole fleet that
+    Most nodes have had no request of an account for a while. None may spend one for an
+    account that was over its rate, and none soon after a start: a whole fleet that
     starts anew has no denials, and would spend one token a node.
     """
     if now - tokens.denied_s < DENIED_KEPT_S:
-        return 0.0
+        return False
     if now < view.settled_s + view.window_s:
-        return 0.0
-    allowed = view.slack * FIRST_TOKEN_SLACK_SHARE + view.overshoot * account.burst
-    probability = allowed / (CUT_OFF_PART * count_known(view))
+        return False
+    if now - tokens.first_s < view.window_s + FIRST_TOKEN_MARGIN_S:
+        return False
     drawn = xxhash.xxh32_intdigest(f"{view.own.node}{account.name}".encode()) / 2**32
-    return 1.0 if drawn < probability else 0.0
+    return drawn < _first_probability(view, account, holder, lonely)
+
+
+def _first_probability(view, account, holder, lonely):
+    """Return the part of the nodes that may spend a first token.
+
+    If the holder lives, the nodes that a fault cuts off from it stay within the slack.
+    If it is dead, all nodes stay within what it would have lent besides.
+    """
+    nodes = count_known(view)
+    allowed = view.slack * FIRST_TOKEN_SLACK_SHARE + view.overshoot * account.burst
+    if lonely:
+        return min(1.0, allowed / (CUT_OFF_PART * nodes))
+    part = CUT_OFF_PARTS[_find_share(view, holder)]
+    whole = allowed + account.rate_per_s * view.window_s
+    return min(1.0, allowed / (part * nodes)) * min(1.0, whole / (FIRST_PART * nodes))
 
 
 def _find_share(view, holder):
@@ -75,12 +104,33 @@
     return SAME_DATA_CENTRE_SHARE
 
 
-def spend_alone(tokens, view, account, cut_off, now):
-    """Return the tokens, and whether one request may run without a holder."""
-    level = tokens.alone + _earn(tokens, view, account, cut_off, now)
+def spend_alone(tokens, view, account, holder, isolation, now):
+    """Return the tokens, and whether one request may run without a holder.
+
+    A ``lonely`` node hears no other, so that it is cut off rather than its holder dead.
+    """
+    level = tokens.alone + _earn(tokens, view, account, isolation.cut_off, now)
     level = min(level, max(1.0, tokens.alone_rate_per_s))
-    granted = level >= 1
-    return replace(tokens, alone=level - granted, alone_s=now), granted
+    if level >= 1:
+        return replace(tokens, alone=level - 1, alone_s=now), True
+    tokens = replace(tokens, alone=level, alone_s=now)
+    if _may_spend_first(tokens, view, account, holder, isolation.lonely, now):
+        return replace(tokens, first_s=now), True
+    return tokens, False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Isolation:
+    """Whether this node hears no other for a moment, and whether it is cut off."""
+
+    lonely: bool
+    cut_off: bool
+
+
+def find_isolation(state, view, now):
+    """Return the ``Isolation`` of this node."""
+    silent_s = now - max(state.heard_s, view.started_s)
+    return Isolation(silent_s > LONELY_AFTER_S, is_cut_off(state, view, now))
 
 
 def _earn(tokens, view, account, cut_off, now):
--- a/comfreyusher/quota/_bucket.py
+++ b/comfreyusher/quota/_bucket.py
@@ -11,7 +11,8 @@
 # Shares of the allowed overshoot and slack that are lent while the first holder does
 # not answer; docs/design/quotas.md adds up all shares.
 RESERVE_RATE_SHARE = 0.2
-RESERVE_SLACK_SHARE = 0.5
+# At once, and again in each window: together half of the slack.
+RESERVE_SLACK_SHARE = 0.25
 LENT_MEAN_S = 5.0
 
 
@@ -56,17 +57,19 @@
     )
 
 
-def refill(bucket, share, overshoot, slack, now):
+def refill(bucket, share, view, now):
     """Return the bucket with what it earned since the last time."""
     elapsed_s = max(0.0, now - bucket.refilled_s)
     level = bucket.level + elapsed_s * bucket.rate_per_s * share
-    reserve_rate = bucket.rate_per_s * overshoot * RESERVE_RATE_SHARE
+    full = view.slack * RESERVE_SLACK_SHARE
+    reserve_rate = bucket.rate_per_s * view.overshoot * RESERVE_RATE_SHARE
+    reserve_rate += full / view.window_s
     reserve = bucket.reserve + max(0.0, now - bucket.reserve_s) * reserve_rate
     return replace(
         bucket,
         level=min(bucket.capacity, level),
         refilled_s=max(now, bucket.refilled_s),
-        reserve=min(slack * RESERVE_SLACK_SHARE, reserve),
+        reserve=min(full, reserve),
         reserve_s=now,
         lent_per_s=bucket.lent_per_s * math.exp(-elapsed_s / LENT_MEAN_S),
     )
--- a/comfreyusher/quota/_holder.py
+++ b/comfreyusher/quota/_holder.py
@@ -91,7 +91,7 @@
 def refill_bucket(state, view, bucket, now):
     """Return a bucket with what it has earned until now."""
     share = find_share(state, view, now)
-    return refill(bucket, share, view.overshoot, view.slack, now)
+    return refill(bucket, share, view, now)
 
 
 def _lend_as_first(state, view, account, ranking, request, now):
--- a/comfreyusher/quota/_state.py
+++ b/comfreyusher/quota/_state.py
@@ -52,7 +52,8 @@
 
     ``waiting`` are the exchanges without a decision, ``backlog`` the refused requests
     that may come again. ``unused`` tokens go back to their ``lender``. ``alone`` are
-    the tokens that may be spent without a holder since ``alone_since_s``.
+    the tokens that may be spent without a holder since ``alone_since_s``, and
+    ``first_s`` is when one more was spent by a node that hears no other.
     """
 
     waiting: tuple = ()
@@ -72,6 +73,7 @@
     alone_s: float | None = None
     alone_since_s: float | None = None
     alone_rate_per_s: float = 0.0
+    first_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/comfreyusher/quota/_tokens.py
+++ b/comfreyusher/quota/_tokens.py
@@ -11,7 +11,7 @@
 from comfreyusher.quota._alone import (
     begin_alone,
     end_alone,
-    is_cut_off,
+    find_isolation,
     spend_alone,
 )
 from comfreyusher.quota._requests import (
@@ -100,13 +100,19 @@
     ask = Ask(number, wanted, first, now, now)
     messages = (_build_request(view, name, ask, first, 0, returned),)
     if _is_silent(state, first, now) and len(ranking) > 1:
-        ask = replace(ask, second=ranking[1].node)
+        second = _choose_second(ranking, first)
+        ask = replace(ask, second=second)
         messages += (_build_request(view, name, ask, ask.second, 1, 0),)
     tokens = replace(tokens, asks=(*tokens.asks, ask), unused=0)
     state = replace(_set(state, name, tokens), number=number)
     return end_pipe((state, view), Spent(), *messages)
 
 
+def _choose_second(ranking, first):
+    """Return the second member: reserves of more than one would add up."""
+    return next((r.node for r in ranking if r.node != first), "")
+
+
 def _build_request(view, name, ask, node, rank, returned):
     request = TokenRequest(view.own.node, ask.number, name, ask.wanted, returned, rank)
     return Envelope(DATAGRAMS, ToNode(node, request))
@@ -297,11 +303,11 @@
     heard_s = state.heard.get(ask.first, -math.inf)
     is_late = now - ask.asked_s >= SILENT_AFTER_S
     if is_late and now - heard_s >= BUSY_HOLDER_S and not ask.second:
-        seconds = [r.node for r in ranking if r.node != ask.first]
-        if seconds:
-            ask = replace(ask, second=seconds[0])
-            messages += (_build_request(view, name, ask, ask.second, 1, 0),)
-            state = replace(state, silent=state.silent.set(ask.first, now))
+        state = replace(state, silent=state.silent.set(ask.first, now))
+        second = _choose_second(ranking, ask.first)
+        if second:
+            ask = replace(ask, second=second)
+            messages += (_build_request(view, name, ask, second, 1, 0),)
     state = _replace_ask(state, name, ask)
     return end_pipe((state, view), Spent(), *messages)
 
@@ -328,10 +334,10 @@
         return end_pipe((state, view), Spent(), *decisions)
     rate = granted_rate(tokens, now)
     tokens = begin_alone(tokens, view, account, ask.first, rate, now)
-    cut_off = is_cut_off(state, view, now)
+    isolation = find_isolation(state, view, now)
     messages, alone = (), 0
     for exchange in affected:
-        tokens, granted = spend_alone(tokens, view, account, cut_off, now)
+        tokens, granted = spend_alone(tokens, view, account, ask.first, isolation, now)
         alone += granted
         answer = decide(exchange, name, True)
         if not granted:
