--- a/tests/test_pattern_quota.py
+++ b/tests/test_pattern_quota.py
@@ -134,7 +134,7 @@
         for share in (0.15, 0.55):
             self.start(seconds=9)
             holder = self.fleet.rank("hot")[0]
-            names = {holder, *self.sample(share)}
+            names = sorted({holder, *self.sample(share)})
             self.fleet.run(3)
             self.fleet.kill(*names)
             self.fleet.run(3)
