--- a/comfreyusher/entry/_timeouts.py
+++ b/comfreyusher/entry/_timeouts.py
@@ -14,11 +14,11 @@
 
 def end_overdue(state, request):
     """Cancel the attempts of an overdue request and send an error response."""
+    not_run_reason = "no upstream was free before the deadline"
+    if request.held_for_body:
+        not_run_reason = "the request body did not come before the deadline"
     return _end_unanswered(
-        state,
-        request,
-        "no answer came before the deadline",
-        "no upstream was free before the deadline",
+        state, request, "no answer came before the deadline", not_run_reason
     )
 
 
--- a/comfreyusher/flow/_streams.py
+++ b/comfreyusher/flow/_streams.py
@@ -25,6 +25,8 @@
 READ_SIZE_BYTES = 65536
 ACCEPTS_PER_EVENT = 16
 LINGER_S = 2.0
+# Peers that send malformed requests one after the other must not take all descriptors.
+MAX_LINGERING = 256
 
 
 class StreamTask(Task):
@@ -43,6 +45,7 @@
         self.connections = {}
         self.numbers = itertools.count(1)
         self.by_socket = {}
+        self.lingering = {}
 
     # Hooks -------------------------------------------------------------
 
@@ -146,15 +149,17 @@
         if connection is None or connection.linger_started_s:
             return
         connection.linger_started_s = self.clock()
+        self.lingering[number] = connection
+        if len(self.lingering) > MAX_LINGERING:
+            self._drop(next(iter(self.lingering.values())), "finished")
         self.resume_reading(number)
         if not connection.unsent:
             self._send_eof(connection)
 
     def drop_lingering(self, now):
         """Drop connections whose lingering close began over ``LINGER_S`` ago."""
-        for connection in list(self.connections.values()):
-            started_s = connection.linger_started_s
-            if started_s and now - started_s > LINGER_S:
+        for connection in list(self.lingering.values()):
+            if now - connection.linger_started_s > LINGER_S:
                 self._drop(connection, "finished")
 
     def abort(self, number):
@@ -345,6 +350,7 @@
         if self.connections.pop(connection.number, None) is None:
             return
         self.by_socket.pop(connection.sock, None)
+        self.lingering.pop(connection.number, None)
         self.poller.discard(connection.sock)
         connection.sock.close()
         self.on_closed(Closed(connection.number, connection.connected, reason))
--- a/comfreyusher/http/__init__.py
+++ b/comfreyusher/http/__init__.py
@@ -7,6 +7,7 @@
     respond_with_text,
 )
 from comfreyusher.http._errors import HttpError
+from comfreyusher.http._memory_budget import CONNECTION_BYTES
 from comfreyusher.http._parse import MatchedRequest, RequestParser, ResponseParser
 from comfreyusher.http._server import (
     HttpLimits,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "CONNECTION_BYTES",
     "HttpClientTask",
     "HttpError",
     "HttpLimits",
--- a/comfreyusher/http/_memory_budget.py
+++ b/comfreyusher/http/_memory_budget.py
@@ -108,11 +108,17 @@
 
 
 def _choose_stalled(holdings, bound):
-    """Return those that progress least, if there are more than the bound."""
+    """Return those that progress least, if there are more than the bound.
+
+    Those with a request at an upstream go only as far as the bound itself.
+    """
     if len(holdings) <= bound:
         return []
-    count = len(holdings) - int(bound * TARGET_SHARE)
-    return sorted(holdings, key=_progress_order)[:count]
+    ordered = sorted(holdings, key=_progress_order)
+    needed = len(holdings) - bound
+    wanted = len(holdings) - int(bound * TARGET_SHARE)
+    more = [holding for holding in ordered[needed:wanted] if not holding.at_upstream]
+    return ordered[:needed] + more
 
 
 def _progress_order(holding):
--- a/comfreyusher/http/_server.py
+++ b/comfreyusher/http/_server.py
@@ -140,7 +140,7 @@
         if not parser.head_started:
             state.head_started_s = None
         elif state.head_started_s is None:
-            state.head_started_s = self.clock()
+            state.head_started_s = state.last_progress_s = self.clock()
 
     def _deliver_events(self, number, state):
         """Deliver pending events, up to the next request while one is in progress.
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -3,7 +3,6 @@
 import dataclasses
 import resource
 import ssl
-import sys
 import time
 
 from comfreyusher.accounts import AccountTask
@@ -13,7 +12,12 @@
 from comfreyusher.entry import EntryTask, new_entry_state
 from comfreyusher.feeds import FeedTask, FeedTimings
 from comfreyusher.flow import Poller, Root, TimerService
-from comfreyusher.http import HttpClientTask, HttpLimits, HttpServerTask
+from comfreyusher.http import (
+    CONNECTION_BYTES,
+    HttpClientTask,
+    HttpLimits,
+    HttpServerTask,
+)
 from comfreyusher.listener import ListenError, open_listener
 from comfreyusher.membership import GossipSettings, MembershipTask
 from comfreyusher.messages import MemberRecord
@@ -41,6 +45,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 CALLERS_SHARE_OF_DESCRIPTORS = 0.6
+IDLE_SHARE_OF_MEMORY = 0.5
 PAGE_IDLE_TIMEOUT_S = 86400.0
 
 
@@ -209,19 +214,21 @@
         abort_on_half_close=callers.half_close is HalfCloseMode.LEFT,
         max_held_bytes=callers.max_held_bytes,
         max_unfinished_requests=callers.max_unfinished_requests,
-        max_connections=_count_caller_descriptors(),
+        max_connections=_count_caller_connections(callers.max_held_bytes),
     )
 
 
-def _count_caller_descriptors():
-    """Return how many descriptors callers may take.
+def _count_caller_connections(max_held_bytes):
+    """Return how many connections callers may have.
 
-    The others are left for upstreams, nodes, the store and operators.
+    The other descriptors are left for upstreams, nodes, the store and operators, and
+    most of the memory for requests, even if every connection is idle.
     """
+    by_memory = int(max_held_bytes * IDLE_SHARE_OF_MEMORY) // CONNECTION_BYTES
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
-        return sys.maxsize
-    return int(limit * CALLERS_SHARE_OF_DESCRIPTORS)
+        return by_memory
+    return min(by_memory, int(limit * CALLERS_SHARE_OF_DESCRIPTORS))
 
 
 def _build_server_context(tls):
--- a/comfreyusher/platform/_task.py
+++ b/comfreyusher/platform/_task.py
@@ -216,7 +216,7 @@
             self._set_reachable(True)
             self._fail_outdated(request, pending.era)
             return
-        if status == GONE:
+        if status == GONE and isinstance(request, ReadRecords):
             self._send_expired(request, body)
             return
         if status in (CONFLICT, PRECONDITION_FAILED):
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -48,6 +48,19 @@
         idle = [Holding(number, CONNECTION_BYTES, 9.0) for number in range(9)]
         self.assertEqual(choose(idle, 1), [])
 
+    # Guards against closing more requests at an upstream than the bound demands.
+    def test_connections_at_an_upstream_go_only_as_far_as_the_bound(self):
+        holdings = [Holding(0, CONNECTION_BYTES, 9.0)]
+        holdings += [
+            Holding(number, CONNECTION_BYTES, 9.0, at_upstream=True)
+            for number in range(1, 17)
+        ]
+        budget = MemoryBudget(1 << 40, 1 << 20, max_connections=16)
+        for holding in holdings:
+            budget.update(holding.number, holding.held_bytes, False)
+        chosen = choose_connections(holdings, budget)
+        self.assertEqual([holding.number for holding in chosen], [0])
+
     # Guards against idle callers that take all descriptors of the process.
     def test_of_too_many_connections_the_longest_idle_ones_go(self):
         holdings = [
@@ -144,6 +157,17 @@
         crowded = [request.crowded for request in self.server.requests]
         self.assertEqual(crowded, [False] * 5 + [True] * 6 + [False])
 
+    # Guards against a head that has just begun on an idle connection, and would be
+    # closed before those that have made no progress for longer.
+    def test_a_head_on_an_idle_connection_has_just_made_progress(self):
+        self.send(1, GET + b"\r\n")
+        self.server.answer_all()
+        self.server.now += 10.0
+        self.send(1, GET[:20])
+        state = self.server.states[1]
+        holding = state.build_holding(1, 0, False, self.server.now)
+        self.assertEqual(holding.stalled_s, 0.0)
+
     # Guards against empty lines that no timeout and no limit ends.
     def test_empty_lines_count_as_an_unfinished_request(self):
         self.send(1, b"\r\n")
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -134,6 +134,16 @@
             (result,) = self.answer(self.start_call(read), 410, body, era=1)
             self.assertEqual(result.expired, expired)
 
+    # Guards against calls without a result: the caller would wait for ever.
+    def test_other_calls_that_get_410_fail(self):
+        self.learn(1)
+        read = ReadNewest("user", Topic.UPSTREAMS)
+        (result,) = self.answer(self.start_call(read), 410, b'{"first": 7}', era=1)
+        self.assertIsInstance(result, ReadFailed)
+        append = Append("user", "t", Topic.ACCOUNTS, "k", b"v")
+        (result,) = self.answer(self.start_call(append), 410, b"", era=1)
+        self.assertIsInstance(result, AppendFailed)
+
 
 class DeclarationFleet:
     """Nodes that publish declarations to one topic with appends at its end."""
