--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,9 +1,17 @@
 """What a node loads before it listens for callers, and before it serves them."""
 
 import json
+import pathlib
+import socket
 import subprocess
 import sys
+import tempfile
+import types
 import unittest
+import unittest.mock
+
+from comfreyusher.cli._serve import serve
+from comfreyusher.context import Context
 
 LISTING = "import sys, json; {}; print(json.dumps(sorted(sys.modules)))"
 BEFORE_LISTENING = "import comfreyusher.core, comfreyusher.cli._serve"
@@ -39,3 +47,58 @@
     def test_nothing_stays_blocked(self):
         statement = "import comfreyusher.flow, importlib.util as u; u.find_spec('ssl')"
         self.assertNotIn("pkg_resources", list_modules(statement))
+
+
+class Loaded(Exception):
+    """The node would be loaded now."""
+
+
+class NodeModule(types.ModuleType):
+    """Stands in for the node's package, and connects when it is loaded."""
+
+    connected = None
+
+    def __getattr__(self, name):
+        if name != "assemble":
+            raise AttributeError(name)
+        self.connected = socket.create_connection(self.address)
+        raise Loaded
+
+
+class ListeningTests(unittest.TestCase):
+    # Guards against callers that are refused until the node's package is loaded.
+    def test_callers_can_connect_when_the_node_is_loaded(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = probe.getsockname()
+        text = json.dumps(build_settings("{}:{}".format(*address)))
+        module = NodeModule("comfreyusher.node")
+        module.address = address
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.json"
+            path.write_text(text)
+            with unittest.mock.patch.dict(sys.modules, {"comfreyusher.node": module}):
+                with self.assertRaises(Loaded):
+                    serve.main(
+                        ["--settings", str(path)], standalone_mode=False, obj=Context()
+                    )
+        self.assertIsNotNone(module.connected)
+        module.connected.close()
+
+
+def build_settings(address):
+    """Return the settings of a node that listens for callers at an address."""
+    tls, key = {"mode": "off"}, [{"environment": "KEY"}]
+    return {
+        "node": {"name": "a", "data_centre": "d", "region": "r"},
+        "callers": {"address": address, "tls": tls},
+        "peers": {
+            "host": "127.0.0.1",
+            "port": 0,
+            "gossip_port": 0,
+            "keys": key,
+            "tls": tls,
+        },
+        "operators": {"address": "127.0.0.1:0", "keys": key},
+        "platform": {"address": "127.0.0.1:1"},
+    }
