--- a/comfreyusher/http/_server.py
+++ b/comfreyusher/http/_server.py
@@ -1,18 +1,18 @@
 """HTTP server task: callers' connections, strict parsing, responses in order."""
 
 import dataclasses
-import itertools
 
 from comfreyusher.flow import Subscribe, Tick, replace
 from comfreyusher.http._encode import encode_chunk, encode_response_head
 from comfreyusher.http._errors import HttpError
 from comfreyusher.http._parse import BodyData, ParsedHead
-from comfreyusher.http._server_bounds import NOT_RUN_HEADERS, BoundedServerTask
+from comfreyusher.http._server_bounds import NOT_RUN_HEADERS
 from comfreyusher.http._server_connection import (
     HttpLimits,
     ServerConnection,
     count_event_bytes,
 )
+from comfreyusher.http._server_pipelining import PipeliningServerTask
 from comfreyusher.messages import (
     InterimResponse,
     RequestBody,
@@ -38,13 +38,11 @@
     seconds: float
 
 
-class HttpServerTask(BoundedServerTask):
+class HttpServerTask(PipeliningServerTask):
     """Turns callers' requests into messages for the task on ``consumer``."""
 
     def __init__(self, channel, consumer, poller, limits=None, **kwargs):
         super().__init__(channel, consumer, poller, limits or HttpLimits(), **kwargs)
-        self.exchange_numbers = itertools.count(1)
-        self.closing_connections = False
         self.message_handlers = {
             ResponseStart: self.handle_response_start,
             ResponseBody: self.handle_response_body,
@@ -69,7 +67,7 @@
         self.closing_connections = True
         for number, state in list(self.states.items()):
             if not state.exchange and not state.pending_events:
-                self.close(number)
+                self.close_after_sending(number, state)
 
     def handle_idle_timeout(self, message):
         """Apply a new timeout of idle connections."""
@@ -89,7 +87,7 @@
 
     def on_received(self, event):
         state = self.states.get(event.connection)
-        if state is None:
+        if state is None or (state.closing and event.data):
             return
         now = state.last_activity_s = self.clock()
         if not event.data:
@@ -143,16 +141,21 @@
             state.head_started_s = self.clock()
 
     def _deliver_events(self, number, state):
-        """Deliver pending events, up to the next request while one is in progress.
+        """Deliver pending events, up to a request that cannot start yet.
 
-        Pipelined requests are delivered one by one, so that responses are sent in
-        the order of the requests, and only while the caller reads the responses.
+        Pipelined requests start side by side where ``may_run_beside`` allows it, and
+        only while the caller reads the responses.
         """
         while state.pending_events:
             if isinstance(state.pending_events[0], ParsedHead):
-                if state.exchange or self._is_unread(number):
+                if self._is_unread(number):
+                    break
+                if not state.exchange:
+                    self._start_request(number, state, state.pending_events.popleft())
+                elif self._may_run_beside(number, state):
+                    self._start_beside(number, state)
+                else:
                     break
-                self._start_request(number, state, state.pending_events.popleft())
             else:
                 self._deliver_body(state)
             if state.unparsed:
@@ -163,16 +166,11 @@
             self._adjust_reading(number, state)
 
     def _start_request(self, number, state, parsed_head):
-        state.exchange = next(self.exchange_numbers)
-        self.number_by_exchange[state.exchange] = number
-        state.request_head = parsed_head.head
-        state.head_bytes = parsed_head.memory_bytes
+        exchange = next(self.exchange_numbers)
+        state.begin_exchange(exchange, parsed_head, self.clock())
+        state.close_expected = False
+        self.number_by_exchange[exchange] = number
         state.pending_bytes -= parsed_head.memory_bytes
-        state.buffered_bytes = 0
-        state.held_response_bytes = 0
-        state.last_progress_s = self.clock()
-        state.response_started = False
-        state.close_after_response = not parsed_head.keep_alive
         state.receiving = True
         body, ended = self._collect_body(state)
         request = RequestStart(
@@ -232,6 +230,8 @@
         if number is None:
             return
         state = self.states[number]
+        if credit.exchange != state.exchange:
+            return  # requests behind the front have no body
         state.unconsumed_bytes = max(0, state.unconsumed_bytes - credit.size_bytes)
         if credit.buffered:
             state.buffered_bytes += credit.size_bytes
@@ -243,9 +243,14 @@
     def handle_response_held(self, held):
         """Count a response that the consumer holds."""
         number = self.number_by_exchange.get(held.exchange)
-        if number is not None:
-            self.states[number].held_response_bytes = held.size_bytes
-            self.count_connection(number, self.states[number])
+        if number is None:
+            return
+        state = self.states[number]
+        if held.exchange == state.exchange:
+            state.held_response_bytes = held.size_bytes
+        else:
+            self._count_held_response(state, held)
+        self.count_connection(number, state)
 
     def _handle_eof(self, number, state):
         """Handle a half-closed connection; its caller may still wait for responses."""
@@ -274,6 +279,9 @@
         if number is None:
             return
         state = self.states[number]
+        if response.exchange != state.exchange:
+            self._hold_message(number, state, response)
+            return
         state.response_started = True
         state.held_response_bytes = 0
         head = response.head
@@ -285,17 +293,17 @@
         is_http_1_0 = state.request_head.version == "1.0"
         unknown_length = not has_length and length is None and not without_body
         state.chunked = unknown_length and not is_http_1_0
-        is_last = state.eof_received and not state.pending_events
-        if (
-            state.receiving
-            or response.close_connection
-            or self.closing_connections
-            or is_last
-        ):
+        is_last = not state.waiting and (
+            self.closing_connections
+            or (state.eof_received and not state.pending_events)
+        )
+        if state.receiving or response.close_connection or is_last:
             state.close_after_response = True
         state.close_after_response = state.close_after_response or (
             unknown_length and is_http_1_0
         )
+        if state.close_after_response and state.waiting:
+            self.cancel_waiting(state)
         data = encode_response_head(
             head, state.chunked, state.close_after_response, length
         )
@@ -311,6 +319,9 @@
         if number is None:
             return
         state = self.states[number]
+        if response.exchange != state.exchange:
+            self._hold_message(number, state, response)
+            return
         body = b"" if state.request_head.method == "HEAD" else response.body
         self._write_response(number, state, b"", body, response.ended)
         if response.ended:
@@ -345,12 +356,23 @@
         if state.close_after_response and state.receiving:
             self._end_connection(number)
             return
-        if state.close_after_response or (
-            state.eof_received and not state.pending_events
-        ):
-            self.close(number)
-            return
-        self._deliver_events(number, state)
+        if state.close_after_response or self._is_last(state):
+            self.close_after_sending(number, state)
+        elif state.waiting or state.advancing:
+            self._advance(number, state)
+        else:
+            self._deliver_events(number, state)
+
+    def _is_last(self, state):
+        """Tell whether the response that has ended is the last of its connection.
+
+        At shutdown, requests that have not been passed on are not started.
+        """
+        if state.waiting:
+            return False
+        if state.pending_events:
+            return self.closing_connections
+        return state.eof_received
 
     def handle_interim_response(self, interim):
         """Write an informational (1xx) response, except to HTTP/1.0 callers."""
@@ -358,11 +380,20 @@
         if number is None or interim.head.status in (100, 101):
             return
         state = self.states[number]
+        if interim.exchange != state.exchange:
+            self._hold_message(number, state, interim)
+            return
         if state.request_head.version != "1.0" and not state.response_started:
             self.write(number, encode_response_head(interim.head))
+            self.count_connection(number, state)
 
     def handle_response_abort(self, abort):
         """Abort the connection, so that the caller sees a truncated response."""
         number = self.number_by_exchange.get(abort.exchange)
-        if number is not None:
+        if number is None:
+            return
+        state = self.states[number]
+        if abort.exchange == state.exchange:
             self.abort(number)
+        else:
+            self._hold_message(number, state, abort)
--- a/comfreyusher/http/_server_bounds.py
+++ b/comfreyusher/http/_server_bounds.py
@@ -4,6 +4,7 @@
 from comfreyusher.flow import StreamTask
 from comfreyusher.http._encode import build_text_response, encode_response_head
 from comfreyusher.http._memory_budget import MemoryBudget, choose_connections
+from comfreyusher.http._pipelining import SharedSlots
 from comfreyusher.messages import CallerDisconnected, CallerMemory, Outcome
 
 OUTCOME_HEADER = b"Comfreyusher-Outcome"
@@ -19,6 +20,8 @@
 
     ``states`` maps numbers of connections to ``ServerConnection``,
     ``number_by_exchange`` the exchanges in progress to their connections.
+    ``turned_away`` are the numbers of connections that found no slot for a request
+    behind the front, in the order of their attempts.
     ``memory_channel``, if there is one, gets a ``CallerMemory`` at each sweep in
     which its values differ.
     """
@@ -35,6 +38,8 @@
             limits.max_unfinished_requests,
             limits.max_connections,
         )
+        self.slots = SharedSlots(limits.max_waiting_requests)
+        self.turned_away = {}
         self.enforcing = False
         self.closed_total = 0
         self.closed_logged = 0
@@ -89,6 +94,7 @@
         """Remove a connection from the tables, and tell the consumer."""
         state = self.states.pop(number, None)
         self.budget.remove(number)
+        self.turned_away.pop(number, None)
         if state is None:
             return
         state.unparsed = b""
@@ -96,6 +102,22 @@
         if state.exchange:
             del self.number_by_exchange[state.exchange]
             self.send_message(self.consumer, CallerDisconnected(state.exchange))
+        self.cancel_waiting(state)
+
+    def cancel_waiting(self, state):
+        """Cancel the requests behind one whose response ends the connection."""
+        self.slots.used -= len(state.waiting)
+        state.waiting_bytes = 0
+        while state.waiting:
+            exchange = state.waiting.popleft().exchange
+            del self.number_by_exchange[exchange]
+            self.send_message(self.consumer, CallerDisconnected(exchange))
+
+    def close_after_sending(self, number, state):
+        """Close a connection behind its last response; nothing more is read or run."""
+        self.cancel_waiting(state)
+        state.discard_requests()
+        self.close(number)
 
     def _report_memory(self):
         """Log closed connections and report what is held; called once a second."""
@@ -136,6 +158,7 @@
     def handle_tick(self, tick):
         """Close connections that are idle or slow to send their request."""
         self.drop_lingering(tick.now_s)
+        self._offer_slots()
         for number, state in list(self.states.items()):
             self._check_timeouts(number, state, tick.now_s)
         self._report_memory()
--- a/comfreyusher/http/_server_connection.py
+++ b/comfreyusher/http/_server_connection.py
@@ -30,7 +30,9 @@
     caller that closes its sending side while it waits is treated as disconnected;
     otherwise it can still read its response. ``max_held_bytes`` bounds the memory
     held for all callers, ``max_unfinished_requests`` the requests being received,
-    ``max_connections`` all connections.
+    ``max_connections`` all connections. ``max_concurrent_requests`` bounds the
+    requests of one connection that run side by side, ``max_waiting_requests`` those
+    of all connections beyond the first of each.
     """
 
     max_head_bytes: int = 32768
@@ -44,13 +46,19 @@
     max_held_bytes: int = sys.maxsize
     max_unfinished_requests: int = sys.maxsize
     max_connections: int = sys.maxsize
+    max_concurrent_requests: int = 1
+    max_waiting_requests: int = 256
 
 
 class ServerConnection:
     """State of one caller's connection.
 
     ``exchange`` is the number of the request in progress, or 0; ``receiving`` tells
-    that its body is not complete. ``unparsed`` are bytes that are parsed once few
+    that its body is not complete. ``waiting`` are the requests behind it that run
+    beside it, ``waiting_bytes`` the memory of those and of their responses;
+    ``close_expected`` tells that one of them ends the connection, ``advancing`` that
+    held responses are being written. A ``closing`` connection only sends what is
+    written. ``unparsed`` are bytes that are parsed once few
     events are pending. ``pending_events`` are parsed events that are not
     delivered yet, ``pending_bytes`` the memory of the bodies and heads among them.
     ``head_bytes`` is the memory of the head of the request in progress,
@@ -68,6 +76,11 @@
         self.unparsed = b""
         self.pending_events = collections.deque()
         self.pending_bytes = 0
+        self.waiting = collections.deque()
+        self.waiting_bytes = 0
+        self.close_expected = False
+        self.advancing = False
+        self.closing = False
         self.exchange = 0
         self.request_head = None
         self.head_bytes = 0
@@ -95,6 +108,27 @@
             self.receiving or self.head_started_s is not None or not self.parser.in_head
         )
 
+    def begin_exchange(self, exchange, parsed_head, now):
+        """Make a request the one in progress, whose response is written next."""
+        self.exchange = exchange
+        self.request_head = parsed_head.head
+        self.head_bytes = parsed_head.memory_bytes
+        self.buffered_bytes = 0
+        self.held_response_bytes = 0
+        self.last_progress_s = now
+        self.response_started = False
+        self.close_after_response = not parsed_head.keep_alive
+
+    def discard_requests(self):
+        """Drop requests that have not been passed on, and read no more of them."""
+        self.closing = True
+        self.pending_events.clear()
+        self.pending_bytes = 0
+        self.unparsed = b""
+        self.parse_error = None
+        self.head_started_s = None
+        self.parser.reset_message()
+
     def count_progress(self, size_bytes, now):
         """Record bytes received, or sent to a caller that reads them."""
         self.progress_bytes += size_bytes
@@ -110,6 +144,7 @@
             + self.unconsumed_bytes
             + self.pending_bytes
             + len(self.unparsed)
+            + self.waiting_bytes
         )
         if self.pending_events:
             held_bytes += EVENT_BYTES * len(self.pending_events)
--- a/comfreyusher/node/_assemble.py
+++ b/comfreyusher/node/_assemble.py
@@ -209,6 +209,7 @@
         abort_on_half_close=callers.half_close is HalfCloseMode.LEFT,
         max_held_bytes=callers.max_held_bytes,
         max_unfinished_requests=callers.max_unfinished_requests,
+        max_concurrent_requests=callers.max_concurrent_requests,
         max_connections=_count_caller_descriptors(),
     )
 
--- a/comfreyusher/settings/_model.py
+++ b/comfreyusher/settings/_model.py
@@ -168,6 +168,11 @@
     max_unfinished_requests: PositiveInt = optional_field(
         1024, "Requests whose head or body is still being received."
     )
+    max_concurrent_requests: PositiveInt = optional_field(
+        8,
+        "Pipelined requests of one connection that run side by side: only GET, HEAD "
+        "and OPTIONS without a body; 1 runs them one by one.",
+    )
 
     def check(self):
         """Yield faults of the address."""
