--- a/comfreyusher/http/_server_bounds.py
+++ b/comfreyusher/http/_server_bounds.py
@@ -97,7 +97,7 @@
         self.turned_away.pop(number, None)
         if state is None:
             return
-        state.unparsed = b""
+        state.discard_requests()
         state.parser.close()
         if state.exchange:
             del self.number_by_exchange[state.exchange]
--- a/comfreyusher/http/_server_pipelining.py
+++ b/comfreyusher/http/_server_pipelining.py
@@ -99,7 +99,7 @@
                 self.message_handlers[type(message)](message)
         state.advancing = False
         self._offer_slots()
-        if number in self.states:
+        if number in self.states and not state.closing:
             self._deliver_events(number, state)
             self.count_connection(number, state)
 
