--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -40,6 +40,7 @@
 REGION = "tests.test_pattern_region_failing"
 STATEMENTS = "tests.test_upstream_statements"
 ERA = "tests.test_store_era"
+PIPELINING = "tests.test_pipelining"
 ERA_FEEDS = "tests.test_store_era_feeds"
 MUTATIONS = (
     Mutation(
@@ -557,6 +558,30 @@
         "    return replace(kept, records=(), lost=())",
         ERA,
     ),
+    Mutation(
+        "a request with effects runs beside others",
+        "pipelining",
+        "comfreyusher/http/_pipelining.py",
+        "        and first.head.method in SAFE_METHODS",
+        "        and True",
+        PIPELINING,
+    ),
+    Mutation(
+        "requests behind a closing response run on",
+        "pipelining",
+        "comfreyusher/http/_server.py",
+        "        if state.close_after_response and state.waiting:",
+        "        if False:",
+        PIPELINING,
+    ),
+    Mutation(
+        "one connection takes all slots beside the first requests",
+        "pipelining",
+        "comfreyusher/http/_pipelining.py",
+        "        return own_count < self.count - self.used",
+        "        return self.used < self.count",
+        PIPELINING,
+    ),
 )
 
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -166,8 +166,7 @@
 
     # Guards against effects in another order than that of the requests.
     def test_a_request_with_effects_runs_alone(self):
-        empty = encode(2, "DELETE", headers=b"Content-Length: 0\r\n")
-        self.send(encode(0) + encode(1, "POST", body=b"b") + empty)
+        self.send(encode(0) + encode(1, "DELETE") + encode(2, "POST", body=b"b"))
         self.send(encode(3) + encode(4))
         for expected in (["/0"], ["/1"], ["/2"], ["/3", "/4"]):
             self.assertEqual(self.server.targets(1), expected)
@@ -315,11 +314,12 @@
         self.assertIn(third.exchange, self.server.cancelled)
 
     def test_a_half_closed_connection_gets_all_responses(self):
-        self.send(encode(0) + encode(1))
+        self.send(encode(0) + encode(1) + encode(2, "POST", body=b"b"))
         self.send(b"")
         for request in reversed(self.requests()):
             self.server.answer(request)
-        self.assertEqual(self.server.read_responses(1), ["/0", "/1"])
+        self.server.answer(self.requests()[0])
+        self.assertEqual(self.server.read_responses(1), ["/0", "/1", "/2"])
         self.assertIn(1, self.server.finishing)
 
 
@@ -363,9 +363,10 @@
 
 
 ACTIONS = (
-    *("get", "get", "get", "head", "post", "delete", "bad", "close", "old", "part"),
-    *("answer", "answer", "answer", "start", "body", "end", "interim", "abort"),
-    *("last", "read", "read", "eof", "lost", "leave", "idle", "tick"),
+    *("get", "head", "post", "delete") * 4,
+    *("answer", "start", "body", "end", "read") * 4,
+    *("interim", "abort", "last", "bad", "close", "old", "part", "eof"),
+    *("lost", "leave", "idle", "tick"),
 )
 RESPONSES = ("answer", "start", "body", "end", "interim", "abort", "last")
 
@@ -422,13 +423,14 @@
         elif request is not None and self.respond(action, request):
             return
         elif not server.states[number].eof_received:
-            self.send_action(action, number)
+            self.send_action(action, number, choice % 3)
 
-    def send_action(self, action, number):
+    def send_action(self, action, number, repeats):
         """Send a request, a part of one, garbage or the end."""
-        self.target += 1
+        self.target += 3
+        targets = range(self.target, self.target + 1 + repeats)
         data = {
-            "get": encode(self.target),
+            "get": b"".join(encode(target) for target in targets),
             "head": encode(self.target, "HEAD"),
             "post": encode(self.target, "POST", body=b"b"),
             "delete": encode(self.target, "DELETE"),
