--- a/comfreyusher/quota/_tokens.py
+++ b/comfreyusher/quota/_tokens.py
@@ -37,6 +37,7 @@
 PREFETCH_S = 0.1
 RESEND_S = 0.05
 SILENT_AFTER_S = 0.1
+# A first member that was heard within this time gets as much longer to answer.
 BUSY_HOLDER_S = 0.3
 SILENT_KEPT_S = 2.0
 GIVE_UP_S = 0.4
@@ -284,15 +285,20 @@
 
 
 def _advance_ask(state, view, name, ask, now):
+    if name not in view.accounts:
+        return _end_asks(state, view, name)
     view, ranking = rank_members(view, name)
     first_silent = _is_silent(state, ask.first, now)
     second_silent = not ask.second or _is_silent(state, ask.second, now)
+    # A busy first member answers late, and one that does not know the account never.
+    is_busy = now - state.heard.get(ask.first, -math.inf) < BUSY_HOLDER_S
+    busy_s = BUSY_HOLDER_S if is_busy else 0.0
     give_up_s = SILENT_AFTER_S if first_silent and second_silent else GIVE_UP_S
     # A node that has just started holds its requests: holders that started with it
     # lend nothing until they know the fleet.
     waits = now < view.settled_s + GIVE_UP_S
     was_asked = bool(ask.second) or len(ranking) < 2
-    if now - ask.asked_s >= give_up_s and was_asked and not waits:
+    if now - ask.asked_s >= give_up_s + busy_s and was_asked and not waits:
         state = _mark_silent(state, view, ask, now)
         return _give_up(state, view, name, ask, now)
     messages = ()
@@ -300,9 +306,7 @@
         rank = 2 if ask.followed else 0
         messages = (_build_request(view, name, ask, ask.first, rank, 0),)
         ask = replace(ask, sends=ask.sends + 1, sent_s=now)
-    heard_s = state.heard.get(ask.first, -math.inf)
-    is_late = now - ask.asked_s >= SILENT_AFTER_S
-    if is_late and now - heard_s >= BUSY_HOLDER_S and not ask.second:
+    if now - ask.asked_s >= SILENT_AFTER_S + busy_s and not ask.second:
         state = replace(state, silent=state.silent.set(ask.first, now))
         second = _choose_second(ranking, ask.first)
         if second:
@@ -312,6 +316,14 @@
     return end_pipe((state, view), Spent(), *messages)
 
 
+def _end_asks(state, view, name):
+    """Let all requests run that wait for an account without a rate."""
+    tokens = state.accounts[name]
+    decisions = tuple(decide(exchange, name, True) for exchange in tokens.waiting)
+    state = _set(state, name, replace(tokens, asks=(), waiting=()))
+    return end_pipe((state, view), Spent(), *decisions)
+
+
 def _mark_silent(state, view, ask, now):
     silent = state.silent
     for node in (ask.first, ask.second):
@@ -327,11 +339,7 @@
     covered = sum(other.wanted for other in tokens.asks)
     count = max(0, len(tokens.waiting) - covered)
     affected, waiting = tokens.waiting[:count], tokens.waiting[count:]
-    account = view.accounts.get(name)
-    if account is None:
-        decisions = tuple(decide(exchange, name, True) for exchange in affected)
-        state = _set(state, name, replace(tokens, waiting=waiting))
-        return end_pipe((state, view), Spent(), *decisions)
+    account = view.accounts[name]
     rate = granted_rate(tokens, now)
     tokens = begin_alone(tokens, view, account, ask.first, rate, now)
     isolation = find_isolation(state, view, now)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -235,6 +235,27 @@
         self.fleet.run(3.1)
         self.assertEqual(self.granted(30), 30)
 
+    # Guards against a request that is held for as long as the first member sends other
+    # messages without an answer to it.
+    def test_a_holder_that_is_heard_and_does_not_answer_is_given_up(self):
+        holder = self.fleet.nodes[self.first]
+        holder.task.view = replace(holder.task.view, accounts=immutables.Map())
+        self.loses = lambda body: type(body) is TokenGrant
+        self.fleet.request("a", self.entry)
+        for _ in range(20):
+            self.entry.deliver(TokenGrant(holder.record.node, 0, "b", 1, 0))
+            self.fleet.run(0.05)
+        self.assertEqual(len(self.fleet.decisions.get("a", ())), 1)
+        self.assertFalse(self.entry.task.tokens.accounts["a"].asks)
+
+    def test_requests_of_an_account_without_a_rate_any_more_pass_at_once(self):
+        self.loses = lambda body: True
+        self.fleet.request("a", self.entry)
+        self.fleet.accounts = immutables.Map()
+        self.entry.show()
+        self.fleet.run(0.06)
+        self.assertEqual([d[1] for d in self.fleet.decisions.get("a", ())], [True])
+
     def test_all_requests_get_a_decision_when_no_member_answers(self):
         self.fleet.kill(*(n.record.name for n in self.others(self.entry.record.name)))
         decisions = self.ask(5, wait_s=0.6)
