--- a/comfreyusher/quota/_tokens.py
+++ b/comfreyusher/quota/_tokens.py
@@ -141,6 +141,8 @@
     ask = _find_ask(tokens, grant.number)
     if ask is None:
         return end_pipe((state, view), Spent())
+    if grant.account not in view.accounts:
+        return _end_asks(state, view, grant.account)
     if grant.first:
         return _follow(state, view, grant, ask, now)
     if grant.node != ask.first:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -256,6 +256,18 @@
         self.fleet.run(0.06)
         self.assertEqual([d[1] for d in self.fleet.decisions.get("a", ())], [True])
 
+    # Guards against an exception that leaves requests without a decision.
+    def test_a_denial_for_an_account_without_a_rate_any_more_lets_requests_pass(self):
+        self.ask(10)
+        self.loses = lambda body: True
+        self.fleet.request("a", self.entry)
+        ask = self.entry.task.tokens.accounts["a"].asks[0]
+        self.fleet.accounts = immutables.Map()
+        self.entry.show()
+        self.entry.deliver(TokenGrant(ask.first, ask.number, "a", 0, 100))
+        self.assertEqual(self.fleet.decisions["a"][-1][1], True)
+        self.assertEqual(self.entry.task.tokens.accounts["a"].waiting, ())
+
     def test_all_requests_get_a_decision_when_no_member_answers(self):
         self.fleet.kill(*(n.record.name for n in self.others(self.entry.record.name)))
         decisions = self.ask(5, wait_s=0.6)
