--- a/comfreyusher/node/_task.py
+++ b/comfreyusher/node/_task.py
@@ -205,10 +205,10 @@
         self._send_node_view()
 
     def _send_quota_view(self):
-        """Send the quota task its view, if any account has or had a rate."""
+        """Send the quota task its view, once any account has had a rate."""
         leaving, fleet = self.phase is not Phase.SERVING, self.settings.fleet
         view = build_quota_view(self.limited, self.members_changed, fleet, leaving)
-        if view != self.quota_view and (view.accounts or self.quota_view.accounts):
+        if view != self.quota_view and (view.accounts or self.quota_view.members):
             self.quota_view = view
             self.send_message("quota", view)
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -470,6 +470,22 @@
         self.configure()
         self.assertEqual(self.pop_views(), [])
 
+    # Guards against members that left in order while no account had a rate, and count
+    # as lost for 10 min once one has.
+    def test_departures_are_sent_after_the_last_rate_is_removed(self):
+        self.configure(ACCOUNT)
+        self.configure()
+        self.sent.clear()
+        self.deliver(MembersChanged((member(1),), frozenset({"vm-2"})))
+        (view,) = self.pop_views()
+        self.assertEqual((len(view.members), view.departed), (1, {"vm-2"}))
+        self.configure(ACCOUNT)
+        self.assertEqual(len(self.pop_views()), 1)
+
+    def test_no_view_is_sent_before_any_account_has_had_a_rate(self):
+        self.deliver(MembersChanged((member(1),), frozenset({"vm-2"})))
+        self.assertEqual(self.pop_views(), [])
+
     # Guards against a share of the rate that is lost for 10 min after each departure.
     def test_members_that_say_that_they_leave_are_named(self):
         task = MembershipTask(member(1), GossipSettings(), 1, clock=lambda: self.now)
