--- a/comfreyusher/directory/_task.py
+++ b/comfreyusher/directory/_task.py
@@ -39,11 +39,26 @@
     port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindNodes:
+    """Send the names of all nodes in the store to the task on ``channel``, once."""
+
+    channel: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodesFound:
+    """The names of the nodes that are registered in the store."""
+
+    names: frozenset
+
+
 class DirectoryTask(Task):
     """Registers the node once, and looks for others while it knows no other.
 
     It registers again, at ``register_due_s`` or later, once the store was restored
-    from an older copy. ``store_era`` is the newest era of the store.
+    from an older copy. ``store_era`` is the newest era of the store. The tasks on the
+    channels ``askers`` wait for the names of the nodes.
     """
 
     def __init__(self, own, **kwargs):
@@ -51,6 +66,7 @@
         self.own = own
         self.registered = False
         self.waiting = False
+        self.askers = frozenset()
         self.alone = True
         self.member_count = 1
         self.store_era = 0
@@ -63,6 +79,7 @@
             NewestRead: self.handle_newest_read,
             ReadFailed: self.handle_read_failed,
             MembersChanged: self.handle_members_changed,
+            FindNodes: self.handle_find_nodes,
             Tick: self.handle_tick,
         }
 
@@ -91,9 +108,18 @@
             )
             append = Append(CHANNEL, None, Topic.NODES, self.own.name, value)
             self.send_message("platform", append)
-        elif self.alone:
-            self.waiting = True
-            self.send_message("platform", ReadNewest(CHANNEL, Topic.NODES))
+        elif self.alone or self.askers:
+            self._read()
+
+    def _read(self):
+        self.waiting = True
+        self.send_message("platform", ReadNewest(CHANNEL, Topic.NODES))
+
+    def handle_find_nodes(self, find):
+        """Read the names of the nodes at once, or after the call that is pending."""
+        self.askers |= {find.channel}
+        if not self.waiting:
+            self._read()
 
     def handle_members_changed(self, changed):
         """Record whether any other node is known."""
@@ -104,6 +130,8 @@
         """Mark the node as registered in this era of the store."""
         self.waiting = False
         self.registered = appended.era >= self.store_era
+        if self.askers:
+            self._read()
 
     def handle_append_failed(self, failure):
         """Log the failure; a later tick tries again."""
@@ -113,10 +141,19 @@
     def handle_newest_read(self, read):
         """Send the newest addresses of other nodes to the membership as seeds."""
         self.waiting = False
+        self._send_names(read)
+        if not self.alone:
+            return
         addresses = tuple(_decode_addresses(read.records, self.own.name))
         log_info(PART, "node addresses found", count=len(addresses))
         self.send_message("membership", SeedsFound(addresses[-MAX_SEEDS:]))
 
+    def _send_names(self, read):
+        names = frozenset(record.key for record in read.records if record.value)
+        for channel in self.askers:
+            self.send_message(channel, NodesFound(names))
+        self.askers = frozenset()
+
     def handle_read_failed(self, failure):
         """Log the failure; a later tick tries again."""
         self.waiting = False
--- a/comfreyusher/node/_quota.py
+++ b/comfreyusher/node/_quota.py
@@ -24,4 +24,5 @@
         parse_duration_ms(fleet.quota_window) / 1000,
         fleet.quota_overshoot,
         fleet.quota_slack,
+        (*fleet.seeds, *fleet.gossip_seeds),
     )
--- a/comfreyusher/quota/_alone.py
+++ b/comfreyusher/quota/_alone.py
@@ -77,16 +77,16 @@
     if now - tokens.first_s < view.window_s + FIRST_TOKEN_MARGIN_S:
         return False
     drawn = xxhash.xxh32_intdigest(f"{view.own.node}{account.name}".encode()) / 2**32
-    return drawn < _first_probability(view, account, holder, lonely)
+    return drawn < _first_probability(view, account, holder, lonely, now)
 
 
-def _first_probability(view, account, holder, lonely):
+def _first_probability(view, account, holder, lonely, now):
     """Return the part of the nodes that may spend a first token.
 
     If the holder lives, the nodes that a fault cuts off from it stay within the slack.
     If it is dead, all nodes stay within what it would have lent besides.
     """
-    nodes = count_known(view)
+    nodes = count_known(view, now)
     allowed = view.slack * FIRST_TOKEN_SLACK_SHARE + view.overshoot * account.burst
     if lonely:
         return min(1.0, allowed / (CUT_OFF_PART * nodes))
@@ -140,13 +140,15 @@
     earned = max(0.0, spend_s) * tokens.alone_rate_per_s
     if cut_off:
         share_s = now - max(tokens.alone_s, since_s + SHARE_AFTER_S)
-        earned += max(0.0, share_s) * account.rate_per_s / count_known(view)
+        earned += max(0.0, share_s) * account.rate_per_s / count_known(view, now)
     return earned
 
 
 def is_cut_off(state, view, now):
     """Tell whether no other node answers this one, which is not alone in the fleet."""
-    others = len(view.members) + len(view.lost) - 1
-    if others < 1 or len(state.silent) < min(MIN_SILENT, others):
+    others = count_known(view, now) - 1
+    # A node that sees no other has none that could be silent.
+    askable = len(view.members) + len(view.lost) - 1
+    if others < 1 or len(state.silent) < min(MIN_SILENT, askable):
         return False
     return now - max(state.heard_s, view.started_s) > CUT_OFF_AFTER_S
--- a/comfreyusher/quota/_holder.py
+++ b/comfreyusher/quota/_holder.py
@@ -84,7 +84,7 @@
 def find_share(state, view, now):
     """Return the share of a rate that this node may lend at as the first member."""
     if state.is_cut_off:
-        return 1 / count_known(view)
+        return 1 / count_known(view, now)
     return reachable_share(view, now)
 
 
--- a/comfreyusher/quota/_messages.py
+++ b/comfreyusher/quota/_messages.py
@@ -36,7 +36,7 @@
 
     ``departed`` are names of members that left in an orderly way. While this node is
     ``leaving`` it lends no tokens. ``overshoot`` is a share of the rate and the burst,
-    ``slack`` a number of requests.
+    ``slack`` a number of requests. ``seeds`` are addresses of nodes in the settings.
     """
 
     accounts: immutables.Map
@@ -46,3 +46,4 @@
     window_s: float = 5.0
     overshoot: float = 0.1
     slack: float = 20.0
+    seeds: tuple = ()
--- a/comfreyusher/quota/_requests.py
+++ b/comfreyusher/quota/_requests.py
@@ -58,7 +58,7 @@
 
 def _own_rate(view, tokens, name, now):
     """Return the tokens per second that this node may expect."""
-    fair = view.accounts[name].rate_per_s / count_known(view)
+    fair = view.accounts[name].rate_per_s / count_known(view, now)
     return max(granted_rate(tokens, now), fair)
 
 
--- a/comfreyusher/quota/_task.py
+++ b/comfreyusher/quota/_task.py
@@ -3,6 +3,7 @@
 import collections
 import heapq
 
+from comfreyusher.directory import FindNodes, NodesFound
 from comfreyusher.events import log_info, log_warning
 from comfreyusher.flow import Subscribe, Task, Tick, Unsubscribe, replace
 from comfreyusher.messages import BucketHandover, TokenGrant, TokenRequest
@@ -25,7 +26,7 @@
     return_token,
     want_token,
 )
-from comfreyusher.quota._view import FleetView, update_view
+from comfreyusher.quota._view import FleetView, record_named, update_view
 from comfreyusher.telemetry import BucketLevel, TokensMeasured
 
 CHANNEL = "quota"
@@ -53,8 +54,10 @@
         self.refusals = collections.Counter()
         self.ticking = False
         self.reporting = False
+        self.has_asked_names = False
         self.message_handlers = {
             QuotaView: self.handle_quota_view,
+            NodesFound: self.handle_nodes_found,
             TokenWanted: self.handle_token_wanted,
             TokenReturned: self.handle_token_returned,
             TokenRequest: self.handle_token_request,
@@ -71,6 +74,19 @@
         view = update_view(before, quota_view, self.clock())
         step = apply_view(self.holder, before, view, self.clock())
         self._take_holder_step(step)
+        if not self.has_asked_names:
+            self.has_asked_names = True
+            self.send_message("directory", FindNodes(CHANNEL))
+
+    def handle_nodes_found(self, found):
+        """Count the nodes in the store that were not seen since the start as lost."""
+        step = apply_view(
+            self.holder,
+            self.view,
+            record_named(self.view, found.names),
+            self.clock(),
+        )
+        self._take_holder_step(step)
 
     def handle_token_wanted(self, wanted):
         """Decide on a request of this node, now or when the holder has answered."""
--- a/comfreyusher/quota/_view.py
+++ b/comfreyusher/quota/_view.py
@@ -41,6 +41,9 @@
     ``ownership`` holds the members without their regions. ``lost`` maps names of
     members that vanished without notice to the time of it. ``removals`` are the newest
     removals of any kind, and those before ``known_since_s`` were dropped.
+
+    ``seen`` holds the names of all members since the start, ``unseen`` the other names
+    in the store. ``seeds`` counts the other nodes in the settings.
     """
 
     own: object
@@ -51,6 +54,9 @@
     lost: immutables.Map = immutables.Map()
     removals: tuple = ()
     known_since_s: float = -math.inf
+    seen: frozenset = frozenset()
+    unseen: frozenset = frozenset()
+    seeds: int = 0
     grown_s: float = 0.0
     leaving: bool = False
     window_s: float = 5.0
@@ -75,10 +81,21 @@
         window_s=quota_view.window_s,
         overshoot=quota_view.overshoot,
         slack=quota_view.slack,
+        seeds=_count_seeds(view.own, quota_view.seeds),
     )
     return _update_members(view, quota_view.members, quota_view.departed, now)
 
 
+def _count_seeds(own, addresses):
+    own_addresses = {f"{own.host}:{own.peer_port}", f"{own.host}:{own.gossip_port}"}
+    return len(set(addresses) - own_addresses)
+
+
+def record_named(view, names):
+    """Return the view after the names of all nodes were read from the store."""
+    return replace(view, unseen=names - view.seen - {view.own.name})
+
+
 def _update_members(view, records, departed, now):
     members = immutables.Map({record.name: record for record in records})
     if members == view.members:
@@ -96,6 +113,7 @@
     known_since_s = view.known_since_s
     if len(removals) > MAX_REMOVALS:
         known_since_s = removals[-MAX_REMOVALS - 1].removed_s
+    seen = view.seen.union(joined, departed)
     is_early = now < view.started_s + MAX_SETTLE_S
     return replace(
         view,
@@ -106,6 +124,8 @@
         lost=lost,
         removals=removals[-MAX_REMOVALS:],
         known_since_s=known_since_s,
+        seen=seen,
+        unseen=view.unseen - seen,
         grown_s=now if joined and is_early else view.grown_s,
     )
 
@@ -123,15 +143,30 @@
     return view, tuple(view.members[record.name] for record in ranking.owners)
 
 
+def count_unseen(view, now):
+    """Return how many other nodes may be alive that were not seen since the start.
+
+    A node that has started while it is isolated has lost no member. Names in the store
+    may be those of nodes that no longer exist, so they count as long as lost ones do.
+    """
+    if now - view.started_s > LOST_KEPT_S:
+        return 0
+    if view.seen <= {view.own.name}:
+        return max(len(view.unseen), view.seeds)
+    return len(view.unseen)
+
+
 def reachable_share(view, now):
     """Return the live members as a share of those that may be alive."""
     lost = sum(1 for lost_s in view.lost.values() if now - lost_s <= LOST_KEPT_S)
+    lost += count_unseen(view, now)
     return len(view.members) / max(1, len(view.members) + lost)
 
 
-def count_known(view):
+def count_known(view, now):
     """Return how many members may be alive."""
-    return max(1, len(view.members) + len(view.lost))
+    lost = len(view.lost) + count_unseen(view, now)
+    return max(1, len(view.members) + lost)
 
 
 def first_since_s(view, account):
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -9,6 +9,7 @@
 import immutables
 
 from comfreyusher.declarations import ClientAccount
+from comfreyusher.directory import FindNodes, NodesFound
 from comfreyusher.flow import Subscribe, Tick, Unsubscribe, replace
 from comfreyusher.flow._timers import next_multiple
 from comfreyusher.messages import MemberRecord, TokenGrant, ToNode
@@ -29,6 +30,7 @@
 # After this a vanished node is declared dead: a probe, and the suspicion.
 DEATH_S = 4.5
 SPREAD_S = 1.0
+READ_S = 0.05
 ONE_WAY_S = {"centre": 0.0003, "region": 0.003, "fleet": 0.02}
 
 
@@ -55,6 +57,11 @@
             fleet.send_datagram(self, body.node, body.body)
         elif isinstance(body, TokenDecision):
             fleet.decide(self, body)
+        elif isinstance(body, FindNodes):
+            names = frozenset(fleet.records)
+            fleet.clock.at(
+                fleet.clock.now + READ_S, lambda: self.deliver(NodesFound(names))
+            )
         elif isinstance(body, Subscribe):
             self.periods[body.name] = timer = object()
             self.schedule(body.name, body.period_s, timer)
@@ -243,6 +250,13 @@
             cut = self.nodes.get(name)
             for node in list(self.nodes.values()):
                 self._later(SPREAD_S, lambda n=node, c=cut: self._see(n, c))
+            self._later(SPREAD_S, lambda c=cut: self._see_all(c))
+
+    def _see_all(self, cut):
+        """Let a node that has started while it was cut off learn of the others."""
+        for other in list(self.nodes.values()):
+            if other.record.name not in cut.known:
+                self._see(cut, other)
 
     def _see(self, node, cut):
         name = cut.record.name
--- a/tests/test_pattern_quota.py
+++ b/tests/test_pattern_quota.py
@@ -204,6 +204,29 @@
         self.fleet.rejoin(names)
         self.fleet.run(4)
 
+    # Guards against nodes that have seen no other since their start, and that each lend
+    # as if they were the whole fleet.
+    def test_nodes_are_restarted_while_they_are_isolated(self):
+        for nodes, count, island, skew in (
+            (NODES, 12, None, 1.0),
+            (40, 6, None, 0.0),
+            (40, 20, "island", 1.0),
+        ):
+            with self.subTest(nodes=nodes, count=count, island=island):
+                self.fleet = QuotaFleet(nodes, [HOT])
+                self.fleet.load("hot", 400, 0.0, 45.0, skew)
+                self.fleet.run(10)
+                names = sorted(self.fleet.nodes)[:count]
+                self.fleet.isolate(names, island)
+                self.fleet.run(1)
+                self.fleet.kill(*names)
+                self.fleet.run(0.8)
+                self.fleet.restart(*names)
+                self.fleet.run(25)
+                self.fleet.rejoin(names)
+                self.fleet.run(8)
+                self.check_windows()
+
 
 class ChangeTests(PatternCase):
     def test_a_lowered_rate_is_binding_5_s_after_all_nodes_have_it(self):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,9 +8,10 @@
 from absl import logging
 
 from comfreyusher.declarations import ClientAccount, PlatformConfiguration
+from comfreyusher.directory import DirectoryTask, FindNodes, NodesFound
 from comfreyusher.entry import EndRequests, NodeView
 from comfreyusher.feeds import ConfigurationChanged
-from comfreyusher.flow import replace
+from comfreyusher.flow import Tick, replace
 from comfreyusher.membership import GossipSettings, MembersChanged, MembershipTask
 from comfreyusher.messages import (
     BucketHandover,
@@ -29,7 +30,16 @@
 )
 from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
 from comfreyusher.node._task import NodeTask
-from comfreyusher.quota import QuotaView, TokenDecision, TokenReturned, TokenWanted
+from comfreyusher.platform import Appended, NewestRead, ReadFailed, Record, Topic
+from comfreyusher.quota import (
+    QuotaTask,
+    QuotaView,
+    TokenDecision,
+    TokenReturned,
+    TokenWanted,
+)
+from comfreyusher.quota._alone import is_cut_off
+from comfreyusher.quota._view import reachable_share
 from comfreyusher.routing import set_published_routes
 from comfreyusher.settings import FleetSettings, TelemetrySettings
 from comfreyusher.telemetry import BucketLevel, TelemetryTask, TokensMeasured
@@ -201,6 +211,36 @@
         granted = sum(self.granted(5, wait_s=0.5) for _ in range(20))
         self.assertLessEqual(granted, 2 + 10.0 * 10 / 8)
 
+    # Guards against a node that was started while it is isolated, and lends as if it
+    # were the whole fleet, before and after it has read the names in the store.
+    def test_a_node_that_has_seen_no_other_lends_its_share_only(self):
+        task = QuotaTask(member(1), clock=lambda: self.fleet.clock.now)
+        task.send_message = lambda channel, body: None
+        accounts = immutables.Map({"a": ACCOUNT})
+        own = f"{member(1).host}:{member(1).peer_port}"
+        seeds = (own, "h:91", "h:92", "h:93")
+        task.handle_quota_view(QuotaView(accounts, (member(1),), seeds=seeds))
+        self.assertEqual(reachable_share(task.view, self.fleet.clock.now), 1 / 4)
+        names = frozenset(f"vm-{n}" for n in range(1, 11))
+        task.handle_nodes_found(NodesFound(names))
+        self.assertEqual(reachable_share(task.view, self.fleet.clock.now), 1 / 10)
+        self.fleet.clock.now += 3
+        now = self.fleet.clock.now
+        self.assertTrue(is_cut_off(task.tokens, task.view, now))
+        members = tuple(member(n) for n in range(1, 11))
+        task.handle_quota_view(QuotaView(accounts, members, seeds=seeds))
+        self.assertEqual(reachable_share(task.view, now), 1)
+        self.assertFalse(is_cut_off(task.tokens, task.view, now))
+
+    # Guards against names of nodes that no longer exist, and that take rate off.
+    def test_names_in_the_store_count_as_long_as_lost_members(self):
+        task = self.entry.task
+        names = frozenset({"gone-1", *self.fleet.nodes})
+        task.handle_nodes_found(NodesFound(names))
+        now = self.fleet.clock.now
+        self.assertAlmostEqual(reachable_share(task.view, now), 8 / 9)
+        self.assertEqual(reachable_share(task.view, now + 601), 1)
+
     # Guards against a large burst that a restart makes whole again.
     def test_a_restarted_node_holds_no_tokens_and_lends_what_it_earned(self):
         self.fleet.set_accounts(replace_limits(ACCOUNT, 10.0, 100.0))
@@ -499,6 +539,30 @@
         self.assertEqual(changes[-1].departed, {"vm-2"})
         self.assertEqual([r.name for r in changes[-1].members], ["vm-1"])
 
+    # Guards against a node that takes the nodes that it has found for all there are.
+    def test_the_names_of_the_nodes_are_read_from_the_store(self):
+        task = DirectoryTask(member(1), clock=lambda: self.now)
+        task.send_message = lambda channel, body: self.sent.append(body)
+        task.handle_members_changed(MembersChanged((member(1), member(2))))
+        self.sent.clear()
+        task.handle_find_nodes(FindNodes("quota"))
+        self.assertEqual(self.sent[-1].topic, Topic.NODES)
+        task.handle_read_failed(ReadFailed(Topic.NODES, "no answer"))
+        task.handle_tick(Tick("tick", self.now))
+        task.handle_appended(Appended(None, 0, 1))
+        records = (Record("vm-2", b"{}", 0), Record("vm-3", b"", 1))
+        task.handle_newest_read(NewestRead(Topic.NODES, 9, records))
+        self.assertEqual(self.sent[-1], NodesFound(frozenset({"vm-2"})))
+        self.sent.clear()
+        task.handle_tick(Tick("tick", self.now))
+        self.assertEqual(self.sent, [])
+
+    def test_the_view_has_the_seeds(self):
+        fleet = replace(FleetSettings(), seeds=("h:1",), gossip_seeds=("h:2",))
+        changed = unittest.mock.Mock(members=(), departed=frozenset())
+        view = build_quota_view(immutables.Map(), changed, fleet, False)
+        self.assertEqual(view.seeds, ("h:1", "h:2"))
+
     def test_tokens_and_levels_are_metrics(self):
         telemetry = TelemetryTask("vm-1.1", TelemetrySettings())
         telemetry.load_meters()
