--- a/comfreyusher/quota/_tokens.py
+++ b/comfreyusher/quota/_tokens.py
@@ -268,7 +268,9 @@
     expired = [lease for lease in tokens.leases if lease.expires_s <= now]
     if not expired:
         return state
-    unused = sum(lease.count for lease in expired if lease.lender == tokens.lender)
+    # Tokens of a reserve have no lender, as an account has before its first answer.
+    returned = [e for e in expired if e.lender and e.lender == tokens.lender]
+    unused = sum(lease.count for lease in returned)
     leases = tuple(lease for lease in tokens.leases if lease.expires_s > now)
     tokens = replace(tokens, leases=leases, unused=tokens.unused + unused)
     return _set(state, name, tokens)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -39,6 +39,8 @@
     TokenWanted,
 )
 from comfreyusher.quota._alone import is_cut_off
+from comfreyusher.quota._state import AccountTokens, Lease, TokensState
+from comfreyusher.quota._tokens import advance_tokens
 from comfreyusher.quota._view import reachable_share
 from comfreyusher.routing import set_published_routes
 from comfreyusher.settings import FleetSettings, TelemetrySettings
@@ -131,6 +133,16 @@
         bucket = self.fleet.nodes[self.first].task.holder.buckets["a"]
         self.assertAlmostEqual(bucket.level, 9.0, places=3)
 
+    # Guards against datagrams to a node without a name.
+    def test_tokens_of_a_reserve_are_not_returned(self):
+        lease = Lease("", 2, self.fleet.clock.now)
+        accounts = immutables.Map({"a": AccountTokens(leases=(lease,))})
+        active = immutables.Map({"a": None})
+        state = TokensState(accounts, active)
+        step = advance_tokens(state, self.entry.task.view, self.fleet.clock.now)
+        self.assertEqual(step.messages, ())
+        self.assertEqual(step.state[0].accounts["a"].unused, 0)
+
     def test_an_unused_token_comes_back_once(self):
         self.ask(10)
         self.fleet.give_back(self.entry, "a")
