--- a/comfreyusher/quota/_holder.py
+++ b/comfreyusher/quota/_holder.py
@@ -47,19 +47,28 @@
     if repeated is not None:
         return end_pipe((state, view), Counted(), _to(request.node, repeated.body))
     view, ranking = rank_members(view, request.account)
-    successor = state.successors.get(request.account)
-    if successor is not None and successor[1] > now:
+    successor = _find_successor(state, request.account, now)
+    if successor is not None:
         return _redirect(state, view, request, successor[0], now)
     if request.account in state.pulls:
         return _hold(state, view, request)
     is_first = bool(ranking) and ranking[0].node == view.own.node and not view.leaving
     if is_first or state.inherited.get(request.account, 0.0) > now:
         return _lend_as_first(state, view, account, ranking, request, now)
-    if request.rank == 0 and ranking and ranking[0].node != view.own.node:
-        return _redirect(state, view, request, ranking[0].node, now)
+    others = [record.node for record in ranking if record.node != view.own.node]
+    if request.rank == 0 and others:
+        return _redirect(state, view, request, others[0], now)
     return _lend_reserve(state, view, account, request, now)
 
 
+def _find_successor(state, name, now):
+    """Return who was given the bucket, until when that holds, and the level."""
+    successor = state.successors.get(name)
+    if successor is None or successor[1] <= now:
+        return None
+    return successor
+
+
 def _to(node, body):
     return Envelope(DATAGRAMS, ToNode(node, body))
 
@@ -245,7 +254,7 @@
     """Answer with the level, and lend no more of it from now on."""
     name = handover.account
     bucket = state.buckets.get(name)
-    successor = state.successors.get(name)
+    successor = _find_successor(state, name, now)
     level = NO_LEVEL
     if successor is None and bucket is not None and bucket.is_first:
         level = max(0.0, refill_bucket(state, view, bucket, now).level)
@@ -281,6 +290,22 @@
     return entries.delete(name) if name in entries else entries
 
 
+def _drop_successors(state, before, view):
+    """Forget successors that have been members and no longer are.
+
+    A successor that has never been one may have joined without being seen yet.
+    """
+    if view.members is before.members or not state.successors:
+        return state
+    successors = state.successors
+    gone = {r.node for r in before.members.values()}
+    gone -= {r.node for r in view.members.values()}
+    for name, successor in successors.items():
+        if successor[0] in gone:
+            successors = successors.delete(name)
+    return replace(state, successors=successors)
+
+
 def apply_view(state, before, view, now):
     """Use a changed view: other limits, another holder, or this node leaves.
 
@@ -288,6 +313,7 @@
     handed over to it.
     """
     messages = ()
+    state = _drop_successors(state, before, view)
     for name, bucket in state.buckets.items():
         bucket = refill_bucket(state, before, bucket, now)
         account = view.accounts.get(name)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -203,6 +203,49 @@
         # Members that left in an orderly way are not counted as lost.
         self.assertEqual(len(self.entry.task.view.lost), 0)
 
+    # Guards against entry nodes that are sent to a dead node for up to 10 s.
+    def test_a_bucket_handed_to_a_node_that_dies_comes_back(self):
+        self.fleet.kill(self.first)
+        self.fleet.run(20)
+        self.assertEqual(self.granted(6), 6)
+        self.fleet.restart(self.first)
+        self.fleet.run(2)
+        self.granted(1)
+        holder = self.fleet.nodes[self.second].task
+        self.assertIn("a", holder.holder.successors)
+        self.fleet.kill(self.first)
+        self.fleet.run(5.6)
+        self.assertNotIn("a", holder.holder.successors)
+        self.assertGreater(self.granted(10, wait_s=0.2), 0)
+
+    # Guards against a holder that joins, whose view the giver does not have yet.
+    def test_a_bucket_handed_to_a_node_that_is_not_seen_yet_stays_there(self):
+        before = self.fleet.nodes[self.first].task
+        handover = BucketHandover("vm-99.1", "a", wanted=True)
+        before.handle_handover(handover)
+        del self.fleet.nodes[self.first].known[self.entry.record.name]
+        self.fleet.nodes[self.first].show()
+        self.assertEqual(before.holder.successors["a"][0], "vm-99.1")
+
+    # Guards against a level of 0 for the second node that asks, long after the first.
+    def test_a_successor_counts_for_as_long_when_a_level_is_asked_for(self):
+        self.granted(1)
+        node = self.fleet.nodes[self.first]
+        node.deliver(BucketHandover("vm-98.1", "a", wanted=True))
+        self.fleet.clock.now += 11
+        node.deliver(BucketHandover("vm-99.1", "a", wanted=True))
+        self.assertEqual(node.task.holder.successors["a"][0], "vm-99.1")
+
+    # Guards against a leaving node that spends its reserve when the next can lend.
+    def test_a_leaving_holder_without_a_bucket_names_the_next(self):
+        node = self.fleet.nodes[self.first]
+        node.leaving = True
+        node.show()
+        self.sent.clear()
+        node.deliver(TokenRequest(self.entry.record.node, 900, "a", 1, 0, 0))
+        (grant,) = self.bodies(TokenGrant)
+        self.assertEqual(grant.first, self.fleet.nodes[self.second].record.node)
+
     def test_a_holder_lends_the_share_of_the_members_that_it_reaches(self):
         lost = [n.record.name for n in self.others(self.first, self.second)][1:4]
         self.fleet.isolate(lost)
