--- a/comfreyusher/entry/_tokens.py
+++ b/comfreyusher/entry/_tokens.py
@@ -32,6 +32,8 @@
         return begin_attempt(state, replace(request, has_token=True))
     name = request.client_account.name
     reason = f"client account {name} is over its rate"
+    if decision.unanswered:
+        reason = f"no holder of the rate of client account {name} answers"
     return send_error(
         state,
         request,
--- a/comfreyusher/quota/_messages.py
+++ b/comfreyusher/quota/_messages.py
@@ -15,12 +15,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenDecision:
-    """Whether a request has got a token, and else after which time one may be free."""
+    """Whether a request has got a token, and else after which time one may be free.
+
+    ``unanswered`` tells that no holder has answered, so that the rate may be kept.
+    """
 
     exchange: int
     granted: bool
     retry_after_ms: int = 0
     account: str = ""
+    unanswered: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/comfreyusher/quota/_requests.py
+++ b/comfreyusher/quota/_requests.py
@@ -72,7 +72,8 @@
     """Refuse a request since no holder answers; it may find one at another node."""
     spread = _spread(view, exchange)
     retry_after_ms = int(NO_HOLDER_RETRY_AFTER_MS * (1 + 2 * spread))
-    return decide(exchange, name, False, retry_after_ms)
+    decision = TokenDecision(exchange, False, retry_after_ms, name, unanswered=True)
+    return Envelope(ENTRY, decision)
 
 
 def _spread(view, exchange):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -39,9 +39,10 @@
     TokenWanted,
 )
 from comfreyusher.quota._alone import is_cut_off
+from comfreyusher.quota._requests import refuse_unanswered
 from comfreyusher.quota._state import AccountTokens, Lease, TokensState
 from comfreyusher.quota._tokens import advance_tokens
-from comfreyusher.quota._view import reachable_share
+from comfreyusher.quota._view import FleetView, reachable_share
 from comfreyusher.routing import set_published_routes
 from comfreyusher.settings import FleetSettings, TelemetrySettings
 from comfreyusher.telemetry import BucketLevel, TelemetryTask, TokensMeasured
@@ -444,6 +445,16 @@
         self.assertEqual(outcome, "not-run")
         self.assertEqual(self.pop_messages(TokenReturned), [])
 
+    # Guards against a caller that is told of a rate that it has not exceeded.
+    def test_a_request_without_an_answer_of_a_holder_gets_a_reason_of_its_own(self):
+        self.send_request()
+        decision = refuse_unanswered(FleetView(member(1), 0.0), "a", 1).body
+        self.deliver(decision)
+        (response,) = self.pop_responses()
+        self.assertEqual(response.head.status, 429)
+        self.assertNotIn(b"over its rate", response.body)
+        self.assertIn(b"no holder", response.body)
+
     def test_a_held_request_is_overdue_at_its_deadline(self):
         self.send_request(deadline=b"300")
         self.advance(0.4)
