--- a/comfreyusher/quota/_messages.py
+++ b/comfreyusher/quota/_messages.py
@@ -15,12 +15,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenDecision:
-    """Whether a request has got a token, and else after which time one may be free."""
+    """Whether a request has got a token, and else after which time one may be free.
+
+    ``unanswered`` tells that no holder has answered, so that the rate may be kept.
+    """
 
     exchange: int
     granted: bool
     retry_after_ms: int = 0
     account: str = ""
+    unanswered: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +40,7 @@
 
     ``departed`` are names of members that left in an orderly way. While this node is
     ``leaving`` it lends no tokens. ``overshoot`` is a share of the rate and the burst,
-    ``slack`` a number of requests.
+    ``slack`` a number of requests. ``seeds`` are addresses of nodes in the settings.
     """
 
     accounts: immutables.Map
@@ -46,3 +50,4 @@
     window_s: float = 5.0
     overshoot: float = 0.1
     slack: float = 20.0
+    seeds: tuple = ()
--- a/comfreyusher/quota/_requests.py
+++ b/comfreyusher/quota/_requests.py
@@ -58,7 +58,7 @@
 
 def _own_rate(view, tokens, name, now):
     """Return the tokens per second that this node may expect."""
-    fair = view.accounts[name].rate_per_s / count_known(view)
+    fair = view.accounts[name].rate_per_s / count_known(view, now)
     return max(granted_rate(tokens, now), fair)
 
 
@@ -72,7 +72,8 @@
     """Refuse a request since no holder answers; it may find one at another node."""
     spread = _spread(view, exchange)
     retry_after_ms = int(NO_HOLDER_RETRY_AFTER_MS * (1 + 2 * spread))
-    return decide(exchange, name, False, retry_after_ms)
+    decision = TokenDecision(exchange, False, retry_after_ms, name, unanswered=True)
+    return Envelope(ENTRY, decision)
 
 
 def _spread(view, exchange):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,9 +8,10 @@
 from absl import logging
 
 from comfreyusher.declarations import ClientAccount, PlatformConfiguration
+from comfreyusher.directory import DirectoryTask, FindNodes, NodesFound
 from comfreyusher.entry import EndRequests, NodeView
 from comfreyusher.feeds import ConfigurationChanged
-from comfreyusher.flow import replace
+from comfreyusher.flow import Tick, replace
 from comfreyusher.membership import GossipSettings, MembersChanged, MembershipTask
 from comfreyusher.messages import (
     BucketHandover,
@@ -29,7 +30,19 @@
 )
 from comfreyusher.node._quota import NO_QUOTA, build_quota_view, select_limited
 from comfreyusher.node._task import NodeTask
-from comfreyusher.quota import QuotaView, TokenDecision, TokenReturned, TokenWanted
+from comfreyusher.platform import Appended, NewestRead, ReadFailed, Record, Topic
+from comfreyusher.quota import (
+    QuotaTask,
+    QuotaView,
+    TokenDecision,
+    TokenReturned,
+    TokenWanted,
+)
+from comfreyusher.quota._alone import is_cut_off
+from comfreyusher.quota._requests import refuse_unanswered
+from comfreyusher.quota._state import AccountTokens, Lease, TokensState
+from comfreyusher.quota._tokens import advance_tokens
+from comfreyusher.quota._view import FleetView, reachable_share
 from comfreyusher.routing import set_published_routes
 from comfreyusher.settings import FleetSettings, TelemetrySettings
 from comfreyusher.telemetry import BucketLevel, TelemetryTask, TokensMeasured
@@ -121,6 +134,16 @@
         bucket = self.fleet.nodes[self.first].task.holder.buckets["a"]
         self.assertAlmostEqual(bucket.level, 9.0, places=3)
 
+    # Guards against datagrams to a node without a name.
+    def test_tokens_of_a_reserve_are_not_returned(self):
+        lease = Lease("", 2, self.fleet.clock.now)
+        accounts = immutables.Map({"a": AccountTokens(leases=(lease,))})
+        active = immutables.Map({"a": None})
+        state = TokensState(accounts, active)
+        step = advance_tokens(state, self.entry.task.view, self.fleet.clock.now)
+        self.assertEqual(step.messages, ())
+        self.assertEqual(step.state[0].accounts["a"].unused, 0)
+
     def test_an_unused_token_comes_back_once(self):
         self.ask(10)
         self.fleet.give_back(self.entry, "a")
@@ -181,6 +204,49 @@
         # Members that left in an orderly way are not counted as lost.
         self.assertEqual(len(self.entry.task.view.lost), 0)
 
+    # Guards against entry nodes that are sent to a dead node for up to 10 s.
+    def test_a_bucket_handed_to_a_node_that_dies_comes_back(self):
+        self.fleet.kill(self.first)
+        self.fleet.run(20)
+        self.assertEqual(self.granted(6), 6)
+        self.fleet.restart(self.first)
+        self.fleet.run(2)
+        self.granted(1)
+        holder = self.fleet.nodes[self.second].task
+        self.assertIn("a", holder.holder.successors)
+        self.fleet.kill(self.first)
+        self.fleet.run(5.6)
+        self.assertNotIn("a", holder.holder.successors)
+        self.assertGreater(self.granted(10, wait_s=0.2), 0)
+
+    # Guards against a holder that joins, whose view the giver does not have yet.
+    def test_a_bucket_handed_to_a_node_that_is_not_seen_yet_stays_there(self):
+        before = self.fleet.nodes[self.first].task
+        handover = BucketHandover("vm-99.1", "a", wanted=True)
+        before.handle_handover(handover)
+        del self.fleet.nodes[self.first].known[self.entry.record.name]
+        self.fleet.nodes[self.first].show()
+        self.assertEqual(before.holder.successors["a"][0], "vm-99.1")
+
+    # Guards against a level of 0 for the second node that asks, long after the first.
+    def test_a_successor_counts_for_as_long_when_a_level_is_asked_for(self):
+        self.granted(1)
+        node = self.fleet.nodes[self.first]
+        node.deliver(BucketHandover("vm-98.1", "a", wanted=True))
+        self.fleet.clock.now += 11
+        node.deliver(BucketHandover("vm-99.1", "a", wanted=True))
+        self.assertEqual(node.task.holder.successors["a"][0], "vm-99.1")
+
+    # Guards against a leaving node that spends its reserve when the next can lend.
+    def test_a_leaving_holder_without_a_bucket_names_the_next(self):
+        node = self.fleet.nodes[self.first]
+        node.leaving = True
+        node.show()
+        self.sent.clear()
+        node.deliver(TokenRequest(self.entry.record.node, 900, "a", 1, 0, 0))
+        (grant,) = self.bodies(TokenGrant)
+        self.assertEqual(grant.first, self.fleet.nodes[self.second].record.node)
+
     def test_a_holder_lends_the_share_of_the_members_that_it_reaches(self):
         lost = [n.record.name for n in self.others(self.first, self.second)][1:4]
         self.fleet.isolate(lost)
@@ -201,6 +267,36 @@
         granted = sum(self.granted(5, wait_s=0.5) for _ in range(20))
         self.assertLessEqual(granted, 2 + 10.0 * 10 / 8)
 
+    # Guards against a node that was started while it is isolated, and lends as if it
+    # were the whole fleet, before and after it has read the names in the store.
+    def test_a_node_that_has_seen_no_other_lends_its_share_only(self):
+        task = QuotaTask(member(1), clock=lambda: self.fleet.clock.now)
+        task.send_message = lambda channel, body: None
+        accounts = immutables.Map({"a": ACCOUNT})
+        own = f"{member(1).host}:{member(1).peer_port}"
+        seeds = (own, "h:91", "h:92", "h:93")
+        task.handle_quota_view(QuotaView(accounts, (member(1),), seeds=seeds))
+        self.assertEqual(reachable_share(task.view, self.fleet.clock.now), 1 / 4)
+        names = frozenset(f"vm-{n}" for n in range(1, 11))
+        task.handle_nodes_found(NodesFound(names))
+        self.assertEqual(reachable_share(task.view, self.fleet.clock.now), 1 / 10)
+        self.fleet.clock.now += 3
+        now = self.fleet.clock.now
+        self.assertTrue(is_cut_off(task.tokens, task.view, now))
+        members = tuple(member(n) for n in range(1, 11))
+        task.handle_quota_view(QuotaView(accounts, members, seeds=seeds))
+        self.assertEqual(reachable_share(task.view, now), 1)
+        self.assertFalse(is_cut_off(task.tokens, task.view, now))
+
+    # Guards against names of nodes that no longer exist, and that take rate off.
+    def test_names_in_the_store_count_as_long_as_lost_members(self):
+        task = self.entry.task
+        names = frozenset({"gone-1", *self.fleet.nodes})
+        task.handle_nodes_found(NodesFound(names))
+        now = self.fleet.clock.now
+        self.assertAlmostEqual(reachable_share(task.view, now), 8 / 9)
+        self.assertEqual(reachable_share(task.view, now + 601), 1)
+
     # Guards against a large burst that a restart makes whole again.
     def test_a_restarted_node_holds_no_tokens_and_lends_what_it_earned(self):
         self.fleet.set_accounts(replace_limits(ACCOUNT, 10.0, 100.0))
@@ -235,6 +331,39 @@
         self.fleet.run(3.1)
         self.assertEqual(self.granted(30), 30)
 
+    # Guards against a request that is held for as long as the first member sends other
+    # messages without an answer to it.
+    def test_a_holder_that_is_heard_and_does_not_answer_is_given_up(self):
+        holder = self.fleet.nodes[self.first]
+        holder.task.view = replace(holder.task.view, accounts=immutables.Map())
+        self.loses = lambda body: type(body) is TokenGrant
+        self.fleet.request("a", self.entry)
+        for _ in range(20):
+            self.entry.deliver(TokenGrant(holder.record.node, 0, "b", 1, 0))
+            self.fleet.run(0.05)
+        self.assertEqual(len(self.fleet.decisions.get("a", ())), 1)
+        self.assertFalse(self.entry.task.tokens.accounts["a"].asks)
+
+    def test_requests_of_an_account_without_a_rate_any_more_pass_at_once(self):
+        self.loses = lambda body: True
+        self.fleet.request("a", self.entry)
+        self.fleet.accounts = immutables.Map()
+        self.entry.show()
+        self.fleet.run(0.06)
+        self.assertEqual([d[1] for d in self.fleet.decisions.get("a", ())], [True])
+
+    # Guards against an exception that leaves requests without a decision.
+    def test_a_denial_for_an_account_without_a_rate_any_more_lets_requests_pass(self):
+        self.ask(10)
+        self.loses = lambda body: True
+        self.fleet.request("a", self.entry)
+        ask = self.entry.task.tokens.accounts["a"].asks[0]
+        self.fleet.accounts = immutables.Map()
+        self.entry.show()
+        self.entry.deliver(TokenGrant(ask.first, ask.number, "a", 0, 100))
+        self.assertEqual(self.fleet.decisions["a"][-1][1], True)
+        self.assertEqual(self.entry.task.tokens.accounts["a"].waiting, ())
+
     def test_all_requests_get_a_decision_when_no_member_answers(self):
         self.fleet.kill(*(n.record.name for n in self.others(self.entry.record.name)))
         decisions = self.ask(5, wait_s=0.6)
@@ -316,6 +445,16 @@
         self.assertEqual(outcome, "not-run")
         self.assertEqual(self.pop_messages(TokenReturned), [])
 
+    # Guards against a caller that is told of a rate that it has not exceeded.
+    def test_a_request_without_an_answer_of_a_holder_gets_a_reason_of_its_own(self):
+        self.send_request()
+        decision = refuse_unanswered(FleetView(member(1), 0.0), "a", 1).body
+        self.deliver(decision)
+        (response,) = self.pop_responses()
+        self.assertEqual(response.head.status, 429)
+        self.assertNotIn(b"over its rate", response.body)
+        self.assertIn(b"no holder", response.body)
+
     def test_a_held_request_is_overdue_at_its_deadline(self):
         self.send_request(deadline=b"300")
         self.advance(0.4)
@@ -437,6 +576,22 @@
         self.configure()
         self.assertEqual(self.pop_views(), [])
 
+    # Guards against members that left in order while no account had a rate, and count
+    # as lost for 10 min once one has.
+    def test_departures_are_sent_after_the_last_rate_is_removed(self):
+        self.configure(ACCOUNT)
+        self.configure()
+        self.sent.clear()
+        self.deliver(MembersChanged((member(1),), frozenset({"vm-2"})))
+        (view,) = self.pop_views()
+        self.assertEqual((len(view.members), view.departed), (1, {"vm-2"}))
+        self.configure(ACCOUNT)
+        self.assertEqual(len(self.pop_views()), 1)
+
+    def test_no_view_is_sent_before_any_account_has_had_a_rate(self):
+        self.deliver(MembersChanged((member(1),), frozenset({"vm-2"})))
+        self.assertEqual(self.pop_views(), [])
+
     # Guards against a share of the rate that is lost for 10 min after each departure.
     def test_members_that_say_that_they_leave_are_named(self):
         task = MembershipTask(member(1), GossipSettings(), 1, clock=lambda: self.now)
@@ -450,6 +605,30 @@
         self.assertEqual(changes[-1].departed, {"vm-2"})
         self.assertEqual([r.name for r in changes[-1].members], ["vm-1"])
 
+    # Guards against a node that takes the nodes that it has found for all there are.
+    def test_the_names_of_the_nodes_are_read_from_the_store(self):
+        task = DirectoryTask(member(1), clock=lambda: self.now)
+        task.send_message = lambda channel, body: self.sent.append(body)
+        task.handle_members_changed(MembersChanged((member(1), member(2))))
+        self.sent.clear()
+        task.handle_find_nodes(FindNodes("quota"))
+        self.assertEqual(self.sent[-1].topic, Topic.NODES)
+        task.handle_read_failed(ReadFailed(Topic.NODES, "no answer"))
+        task.handle_tick(Tick("tick", self.now))
+        task.handle_appended(Appended(None, 0, 1))
+        records = (Record("vm-2", b"{}", 0), Record("vm-3", b"", 1))
+        task.handle_newest_read(NewestRead(Topic.NODES, 9, records))
+        self.assertEqual(self.sent[-1], NodesFound(frozenset({"vm-2"})))
+        self.sent.clear()
+        task.handle_tick(Tick("tick", self.now))
+        self.assertEqual(self.sent, [])
+
+    def test_the_view_has_the_seeds(self):
+        fleet = replace(FleetSettings(), seeds=("h:1",), gossip_seeds=("h:2",))
+        changed = unittest.mock.Mock(members=(), departed=frozenset())
+        view = build_quota_view(immutables.Map(), changed, fleet, False)
+        self.assertEqual(view.seeds, ("h:1", "h:2"))
+
     def test_tokens_and_levels_are_metrics(self):
         telemetry = TelemetryTask("vm-1.1", TelemetrySettings())
         telemetry.load_meters()
