--- a/comfreyusher/owner/_fair_queue.py
+++ b/comfreyusher/owner/_fair_queue.py
@@ -2,7 +2,8 @@
 
 Ranks are strict. Within a rank the client accounts share, within an account its
 routes, and the attempts of one flow, an account and a route, go by the earliest
-deadline. Work is counted in whole milliseconds, for short and long requests apart,
+deadline. A route whose work class changes while attempts are queued has a flow for
+each class. Work is counted in whole milliseconds, for short and long requests apart,
 since they have different numbers of slots.
 """
 
@@ -66,7 +67,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlowQueue:
-    """The queued attempts of one account and route, and their work."""
+    """The queued attempts of one account, route and work class, and their work."""
 
     positions: tuple = ()
     work_ms: int = 0
@@ -147,7 +148,7 @@
 
 
 def iterate_flows(queue):
-    """Yield the flows in the order of their turns: ``((rank, account, route), flow)``.
+    """Yield the flows in the order of their turns, each with its key of ``flow_of``.
 
     It is the order of their next attempts; each grant changes it.
     """
@@ -172,7 +173,7 @@
         level = join_level(level, name)
     if not flow.positions:
         account_level = join_level(account_level, route)
-    long = request.work_class is WorkClass.LONG
+    _, long = route
     flow = FlowQueue(
         insert_position(flow.positions, position_of(attempt)),
         flow.work_ms + attempt.cost_ms,
@@ -205,8 +206,9 @@
             flows=account.flows.delete(route),
             level=leave_level(account.level, route),
         )
-    rank = _add_work(rank, name, account, flow.long, -attempt.cost_ms)
-    return _set_rank(queue, number, rank, -1, flow.long)
+    _, long = route
+    rank = _add_work(rank, name, account, long, -attempt.cost_ms)
+    return _set_rank(queue, number, rank, -1, long)
 
 
 def serve_attempt(queue, attempt):
@@ -225,8 +227,13 @@
 
 
 def flow_of(request):
-    """Return the rank, the client account and the route of a request."""
-    return request.priority, request.client_account, request.route_key
+    """Return the key of the flow of a request: ``(rank, account, (route, long))``.
+
+    Entry nodes on two versions of the configuration may send a route in two work
+    classes, which have different numbers of slots.
+    """
+    long = request.work_class is WorkClass.LONG
+    return request.priority, request.client_account, (request.route_key, long)
 
 
 def work_ahead(queue, attempt, index):
@@ -236,7 +243,7 @@
     comes, up to what they have queued, and one attempt if their turn is before.
     """
     number, name, route = flow_of(attempt.request)
-    long = attempt.request.work_class is WorkClass.LONG
+    _, long = route
     urgent_ms = sum(
         queue.ranks[other].work_ms[long] for other in queue.order if other < number
     )
--- a/comfreyusher/owner/_fair_share.py
+++ b/comfreyusher/owner/_fair_share.py
@@ -25,7 +25,7 @@
 
     start_ms: int
     number: int
-    party: str
+    party: str | tuple
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -218,6 +218,17 @@
         super().__init__()
         self.model = FairModel()
 
+    # Guards against entry nodes on two versions of the configuration, for which the
+    # route has different work classes.
+    @rule(classes=st.lists(st.sampled_from(WorkClass), min_size=4, max_size=12))
+    def send_one_account_in_both_classes(self, classes):
+        for work_class in classes:
+            self.model.number += 4
+            request = grant_request(
+                self.model.number, work_class=work_class, target_ms=2500
+            )
+            self.model.send(request)
+
     @rule()
     def switch_sharing(self):
         self.model.fair = not self.model.fair
@@ -233,6 +244,11 @@
         assert all(not attempt.upstream for attempt in queued)
         waiting = sum(not attempt.upstream for attempt in group.attempts.values())
         assert len(group.queue) == len(queued) == waiting
+        assert group.queue.long_count == sum(map(group.is_long, queued))
+        for (_, _, (_, long)), flow in iterate_flows(group.queue):
+            attempts = [group.attempts[position.key] for position in flow.positions]
+            assert {group.is_long(attempt) for attempt in attempts} == {long}
+            assert flow.work_ms == sum(attempt.cost_ms for attempt in attempts)
         for rank in group.queue.ranks.values():
             check_rank(rank, [a for a in queued if a.request.priority in rank_of(rank)])
 
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import itertools
 import random
 import unittest
 
@@ -11,12 +12,14 @@
     DenialReason,
     UpstreamLoad,
     Verdict,
+    WorkClass,
 )
 from comfreyusher.owner import CheckDue, OwnerTask, PlanChanged, decide, new_group
 from comfreyusher.owner._fair_queue import (
     WorkAhead,
 )
 from comfreyusher.owner._load_shedding import WaitEstimate
+from comfreyusher.owner._queue import count_queued_short
 from comfreyusher.owner._return_times import RefusalCause, cause_of
 from comfreyusher.telemetry import GrantDenied, SharingRefused
 from tests.simulation import Behaviour, RequestKind, Simulation
@@ -162,6 +165,30 @@
         return [n for n in numbers if any(key.number == n for key in model.granted)]
 
 
+class WorkClassTests(unittest.TestCase):
+    # Guards against counts that stay wrong after a new version of the configuration
+    # has changed the work class of a route.
+    def test_a_route_in_two_work_classes_leaves_no_counts_behind(self):
+        for first, last in itertools.permutations(WorkClass):
+            model = FairModel()
+            model.group = new_group(replace(plan(), fair_sharing=True), model.now)
+            fields = {"remaining_ms": 60_000, "target_ms": 50_000}
+            # Other attempts keep the rank, so that it is not built anew.
+            for number in (*range(1, 17, 4), *range(2, 82, 4)):
+                model.send(grant_request(number, **fields))
+            mixed = [first] * 40 + [last]
+            for number, work_class in zip(range(100, 264, 4), mixed, strict=True):
+                model.send(grant_request(number, work_class=work_class, **fields))
+            while running := model.running():
+                for key in running:
+                    upstream = model.granted[key].upstream
+                    model.ended[key] = "reported"
+                    model.send(AttemptReport(key, "s@r", upstream, Verdict.GOOD, 5))
+            queue = model.group.queue
+            self.assertEqual((len(queue), queue.long_count), (0, 0))
+            self.assertEqual(count_queued_short(model.group), 0)
+
+
 class CostTests(unittest.TestCase):
     """Decisions cost the same with few and with many accounts queued."""
 
