--- a/comfreyusher/owner/_fair_queue.py
+++ b/comfreyusher/owner/_fair_queue.py
@@ -28,6 +28,8 @@
 )
 
 NO_WORK = (0, 0)
+# No rank or account of a queue has the serial 0.
+NOT_CHARGED = (0, 0)
 # An account within its share has one attempt queued now and then.
 MIN_BACKLOG_ATTEMPTS = 1.5
 
@@ -76,21 +78,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AccountQueue:
-    """The flows of an account in one rank; ``work_ms`` of its short and long ones."""
+    """The flows of an account in one rank; ``work_ms`` of its short and long ones.
+
+    An account that has nothing queued is dropped; ``serial`` differs when it is back.
+    """
 
     level: ShareLevel = EMPTY_LEVEL
     flows: immutables.Map = immutables.Map()
     work_ms: tuple = NO_WORK
+    serial: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankQueue:
-    """The accounts of one rank; ``backlogs`` of their short and long work."""
+    """The accounts of one rank; ``backlogs`` of their short and long work.
+
+    A rank that has nothing queued is dropped; ``serial`` differs when it is back.
+    """
 
     level: ShareLevel = EMPTY_LEVEL
     accounts: immutables.Map = immutables.Map()
     work_ms: tuple = NO_WORK
     backlogs: tuple = (NO_BACKLOGS, NO_BACKLOGS)
+    serial: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +111,7 @@
     order: tuple = ()
     count: int = 0
     long_count: int = 0
+    last_serial: int = 0
 
     def __len__(self):
         return self.count
@@ -165,8 +176,15 @@
     """Return the queue with one more attempt."""
     request = attempt.request
     number, name, route = flow_of(request)
-    rank = queue.ranks.get(number, EMPTY_RANK)
-    account = rank.accounts.get(name, EMPTY_ACCOUNT)
+    serial = queue.last_serial
+    rank = queue.ranks.get(number)
+    if rank is None:
+        serial += 1
+        rank = RankQueue(serial=serial)
+    account = rank.accounts.get(name)
+    if account is None:
+        serial += 1
+        account = AccountQueue(serial=serial)
     flow = account.flows.get(route, EMPTY_FLOW)
     level, account_level = rank.level, account.level
     if not account.flows:
@@ -183,6 +201,8 @@
         account, level=account_level, flows=account.flows.set(route, flow)
     )
     rank = _add_work(replace(rank, level=level), name, account, long, attempt.cost_ms)
+    if serial != queue.last_serial:
+        queue = replace(queue, last_serial=serial)
     return _set_rank(queue, number, rank, 1, long)
 
 
@@ -213,17 +233,46 @@
 
 def serve_attempt(queue, attempt):
     """Return the queue after a queued attempt was granted a slot."""
-    queue = _change_levels(queue, attempt, charge_party, attempt.cost_ms)
+    number, name, route = flow_of(attempt.request)
+    rank = queue.ranks[number]
+    account = rank.accounts[name]
+    level = charge_party(account.level, route, attempt.cost_ms)
+    rank = replace(
+        rank,
+        level=charge_party(rank.level, name, attempt.cost_ms),
+        accounts=rank.accounts.set(name, replace(account, level=level)),
+    )
+    queue = replace(queue, ranks=queue.ranks.set(number, rank))
     return remove_attempt(queue, attempt)
 
 
+def serials_of(queue, request):
+    """Return the serials of the rank and of the account of a request."""
+    rank = queue.ranks.get(request.priority, EMPTY_RANK)
+    account = rank.accounts.get(request.client_account, EMPTY_ACCOUNT)
+    return rank.serial, account.serial
+
+
 def correct_cost(queue, attempt, took_ms):
-    """Return the queue after a report told how long a served attempt took."""
-    number, name, _ = flow_of(attempt.request)
+    """Return the queue after a report told how long a served attempt took.
+
+    Only levels that still hold the charge are corrected: those that were dropped
+    since the grant began anew without it.
+    """
+    number, name, route = flow_of(attempt.request)
+    difference_ms = took_ms - attempt.cost_ms
+    rank_serial, account_serial = attempt.charged_serials
     rank = queue.ranks.get(number)
-    if rank is None or name not in rank.level.turns:
+    if rank is None or rank.serial != rank_serial:
         return queue
-    return _change_levels(queue, attempt, correct_charge, took_ms - attempt.cost_ms)
+    accounts = rank.accounts
+    account = accounts.get(name)
+    if account is not None and account.serial == account_serial:
+        level = correct_charge(account.level, route, difference_ms)
+        accounts = accounts.set(name, replace(account, level=level))
+    level = correct_charge(rank.level, name, difference_ms)
+    rank = replace(rank, level=level, accounts=accounts)
+    return replace(queue, ranks=queue.ranks.set(number, rank))
 
 
 def flow_of(request):
@@ -346,7 +395,7 @@
     if not account.flows:
         level, accounts = leave_level(level, name), rank.accounts.delete(name)
     work_ms = _change_work(rank.work_ms, long, cost_ms)
-    return RankQueue(level, accounts, work_ms, tuple(backlogs))
+    return RankQueue(level, accounts, work_ms, tuple(backlogs), rank.serial)
 
 
 def _change_work(work_ms, long, cost_ms):
@@ -364,18 +413,4 @@
         order = order if number in ranks else tuple(sorted((*order, number)))
         ranks = ranks.set(number, rank)
     count, long_count = queue.count + added, queue.long_count + added * long
-    return FairQueue(ranks, order, count, long_count)
-
-
-def _change_levels(queue, attempt, change, work_ms):
-    """Return the queue with the turns of a flow and its account changed."""
-    number, name, route = flow_of(attempt.request)
-    rank = queue.ranks[number]
-    accounts = rank.accounts
-    account = accounts.get(name)
-    if account is not None and route in account.level.turns:
-        level = change(account.level, route, work_ms)
-        accounts = accounts.set(name, replace(account, level=level))
-    level = change(rank.level, name, work_ms)
-    rank = replace(rank, level=level, accounts=accounts)
-    return replace(queue, ranks=queue.ranks.set(number, rank))
+    return FairQueue(ranks, order, count, long_count, queue.last_serial)
--- a/comfreyusher/owner/_grants.py
+++ b/comfreyusher/owner/_grants.py
@@ -13,7 +13,7 @@
     find_candidates,
     refresh_candidate,
 )
-from comfreyusher.owner._fair_queue import is_light
+from comfreyusher.owner._fair_queue import is_light, serials_of
 from comfreyusher.owner._handover_load import record_load
 from comfreyusher.owner._hedges import (
     count_hedgeable,
@@ -305,6 +305,9 @@
     if attempt.request.prior_sends:
         retry_budget = count_event(group.retry_budget, marked=True, now=now)
         group = replace(group, retry_budget=retry_budget)
+    if group.plan.fair_sharing:
+        serials = serials_of(group.queue, attempt.request)
+        attempt = replace(attempt, charged_serials=serials)
     group = spend_hedge(dequeue_granted(group, attempt), attempt.request)
     upstream = choice.upstream
     attempt = replace(
--- a/comfreyusher/owner/_queue.py
+++ b/comfreyusher/owner/_queue.py
@@ -12,6 +12,7 @@
 from comfreyusher.owner._capacity import DEFAULT_SERVICE_S
 from comfreyusher.owner._fair_queue import (
     EMPTY_QUEUE,
+    NOT_CHARGED,
     FairQueue,
     insert_attempt,
     insert_position,
@@ -65,9 +66,16 @@
 
 
 def rebuild_queue(group):
-    """Return the group with the kind of queue that its plan wants."""
+    """Return the group with the kind of queue that its plan wants.
+
+    A new queue holds no charges for the attempts that are granted already.
+    """
     if group.plan.fair_sharing == (type(group.queue) is FairQueue):
         return group
+    for key, attempt in group.attempts.items():
+        if attempt.charged_serials != NOT_CHARGED:
+            attempt = replace(attempt, charged_serials=NOT_CHARGED)
+            group = replace(group, attempts=group.attempts.set(key, attempt))
     attempts = [group.attempts[position.key] for position in group.queue]
     queue = EMPTY_QUEUE if group.plan.fair_sharing else ()
     group = replace(group, queue=queue, long_queue=())
--- a/comfreyusher/owner/_state.py
+++ b/comfreyusher/owner/_state.py
@@ -17,7 +17,7 @@
 )
 from comfreyusher.messages import GrantRequest, WorkClass
 from comfreyusher.owner._arrivals import Arrivals
-from comfreyusher.owner._fair_queue import EMPTY_QUEUE, FairQueue
+from comfreyusher.owner._fair_queue import EMPTY_QUEUE, NOT_CHARGED, FairQueue
 from comfreyusher.owner._retry_budget import new_retry_budget
 from comfreyusher.owner._window import SlidingWindow
 
@@ -137,7 +137,8 @@
 
     ``spread`` tells that load spreading chose the upstream. ``stalls`` counts the
     stalls that were recorded for the attempt, ``cost_ms`` is the work that it was
-    expected to be when it arrived.
+    expected to be when it arrived. ``charged_serials`` are those of the rank and the
+    account of the ``FairQueue`` that were charged for its grant.
     """
 
     request: GrantRequest
@@ -150,6 +151,7 @@
     spread: bool = False
     stalls: int = 0
     cost_ms: int = 0
+    charged_serials: tuple = NOT_CHARGED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
