--- a/comfreyusher/owner/_fair_share.py
+++ b/comfreyusher/owner/_fair_share.py
@@ -13,8 +13,10 @@
 import immutables
 
 NO_TURNS = immutables.Map()
-# The virtual time stands still while new parties keep coming. Those that were served
-# least ahead of it are forgotten then; each may gain one request by that.
+# While new parties keep coming, the start times of the served ones are kept up to this
+# number. Then the one that was served least ahead is forgotten, and the virtual time
+# moves to its start time: otherwise parties that come in turn would be served at an
+# unchanged virtual time, and one with a steady backlog would starve.
 MIN_KEPT_IDLE = 32
 IDLE_PER_QUEUED = 2
 
@@ -75,14 +77,15 @@
     order = _remove_turn(level.order, turn)
     if not order:
         return EMPTY_LEVEL
-    idle, turns = level.idle, level.turns
-    if turn.start_ms > level.virtual_ms:
+    idle, turns, virtual_ms = level.idle, level.turns, level.virtual_ms
+    if turn.start_ms > virtual_ms:
         idle = _insert_turn(idle, turn)
     else:
         turns = turns.delete(party)
     if len(idle) > MIN_KEPT_IDLE + IDLE_PER_QUEUED * len(order):
+        virtual_ms = max(virtual_ms, idle[0].start_ms)
         turns, idle = turns.delete(idle[0].party), idle[1:]
-    return ShareLevel(level.virtual_ms, level.last_number, order, idle, turns)
+    return ShareLevel(virtual_ms, level.last_number, order, idle, turns)
 
 
 def charge_party(level, party, cost_ms):
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -141,6 +141,22 @@
         else:
             self.fail("the account was not served in its turn")
 
+    # Guards against accounts that are forgotten while idle and come back at an
+    # unchanged virtual time, so that one with a steady backlog starves.
+    def test_accounts_that_come_in_turn_do_not_starve_a_steady_one(self):
+        for accounts in (20, 84, 200):
+            service, served = Service(), 0
+            rounds = accounts * 30
+            for _ in range(2):
+                service.add("z")
+            for number in range(rounds):
+                service.add(f"a{number % accounts}")
+                if service.serve().request.client_account == "z":
+                    service.add("z")
+                    served += 1
+            # Its share among all of them, less one request for each full round.
+            self.assertGreaterEqual(served, rounds / (accounts + 1) - 1)
+
     @given(EVENTS, st.randoms(use_true_random=False))
     @settings(max_examples=80, derandomize=True, deadline=None)
     def test_ranks_are_strict_and_flows_go_by_deadline(self, events, rng):
