--- a/comfreyusher/owner/_return_times.py
+++ b/comfreyusher/owner/_return_times.py
@@ -65,9 +65,11 @@
     pace_s = _pace_s(attempt, estimate)
     returns = group.returns.get(flow, Returns(-math.inf, 0))
     return_s = max(first_s, returns.last_s + pace_s)
-    if return_s - first_s > attempt.deadline_s - now:
+    latest_s = first_s + max(0.0, attempt.deadline_s - now)
+    if return_s > latest_s:
         return_s = first_s  # the first ones of the list have given up by then
-    told_s = return_s + pace_s * (returns.count * SPREAD_RATIO % 1)
+    spread_s = min(pace_s, latest_s - return_s)
+    told_s = return_s + spread_s * (returns.count * SPREAD_RATIO % 1)
     returns = group.returns.set(flow, Returns(return_s, returns.count + 1))
     group = replace(group, refusals=refusals, returns=returns)
     return PlannedReturn(group, int((told_s - now) * MILLISECONDS_PER_SECOND))
@@ -114,11 +116,15 @@
 
 
 def _pace_s(attempt, estimate):
-    """Return by how much one more attempt of the flow would extend the wait."""
+    """Return by how much one more attempt of the flow would extend the wait.
+
+    The other accounts of its rank are each served at most as much as its own.
+    """
     if estimate.wait_s == math.inf:
         return MIN_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND
     work, cost_ms = estimate.work, attempt.cost_ms
     shared_ms = cost_ms
     if work.own_ms:
-        shared_ms *= (work.own_ms + work.others_ms) / work.own_ms
+        shared = (work.own_ms + work.others_ms) / work.own_ms
+        shared_ms *= min(work.accounts, shared)
     return estimate.wait_s * shared_ms / (work.total_ms + cost_ms)
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -298,6 +298,39 @@
         self.assertLess(most, len(told_ms) * 0.05)
         self.assertGreater(min(told_ms), 0)
 
+    # Guards against times of minutes for an account that has queued almost nothing
+    # while many others have a backlog.
+    def test_a_small_backlog_is_not_told_a_long_time(self):
+        patient = replace(PROFILE, max_wait_ms=900_000)
+        group = new_group(replace(plan(), fair_sharing=True, profile=patient), 100.0)
+        times_s = group.typical_s.update({"cheap": 0.001, "big": 0.3})
+        model = FairModel()
+        model.group = replace(group, typical_s=times_s, short_mean_s=0.3)
+        fields = {"remaining_ms": 4000, "target_ms": 3500}
+        for number in range(SLOTS * len(UPSTREAMS) + 80):
+            other = f"other{number % 40}"
+            self.send(model, number + 1, other, route_key="big", **fields)
+        self.send(model, 200, "own", route_key="cheap", **fields)
+        self.assertGreater(len(model.group.queue), 60)
+        told_ms = []
+        for number in range(201, 221):
+            request = self.send(
+                model, number, "own", route_key="big", remaining_ms=1200
+            )
+            denied = model.ended[request.key]
+            self.assertIs(denied.reason, DenialReason.TOO_LATE)
+            told_ms.append(denied.retry_after_ms)
+        # All that is queued, on all slots, with the margin of a heavy account, and the
+        # caller's own time.
+        queued_ms = sum(model.group.queue.ranks[0].work_ms) / (SLOTS * len(UPSTREAMS))
+        self.assertLess(max(told_ms), 1.25 * queued_ms + 1200)
+        self.assertGreater(len(set(told_ms)), 10)
+
+    def send(self, model, number, account, **fields):
+        request = grant_request(number, client_account=account, **fields)
+        Model.send(model, request)
+        return request
+
     # Guards against a wrong cause, which would send operators to the wrong account.
     def test_the_cause_is_what_most_of_the_wait_is_for(self):
         causes = RefusalCause
