--- a/comfreyusher/owner/_next_attempt.py
+++ b/comfreyusher/owner/_next_attempt.py
@@ -11,8 +11,13 @@
 from comfreyusher.owner._choose import choose_upstream
 from comfreyusher.owner._fair_queue import iterate_flows
 
-MAX_POSITIONS_OF_FLOW = 8
-MAX_VISITED_FLOWS = 64
+# Attempts for which an upstream is searched. Attempts with the same requirements as one
+# that has to wait cost much less, and are limited on their own, so that they hold up
+# no free slots.
+MAX_TRIED_OF_FLOW = 8
+MAX_TRIED_FLOWS = 64
+MAX_SKIPPED_OF_FLOW = 256
+MAX_SKIPPED = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,26 +35,30 @@
 def find_next(group, candidate_set, waiting, refusing, now):
     """Return the next attempt that can be granted, and its choice, or ``None``.
 
-    A flow that has to wait holds up no other one: only its first positions are tried.
+    A flow that has to wait holds up no other one.
     """
-    visited = 0
+    tried_flows = skipped = 0
     for name, flow in iterate_flows(group.queue):
         if name in waiting.flows:
             continue
-        for position in flow.positions[:MAX_POSITIONS_OF_FLOW]:
+        tried = 0
+        for position in flow.positions[: MAX_TRIED_OF_FLOW + MAX_SKIPPED_OF_FLOW]:
             attempt = group.attempts[position.key]
-            if position.deadline_s <= now:
-                continue
             requirements = requirements_of(group, attempt, refusing)
-            if attempt.target_s >= waiting.target_s.get(requirements, math.inf):
+            waits = attempt.target_s >= waiting.target_s.get(requirements, math.inf)
+            if waits or position.deadline_s <= now:
+                skipped += 1
                 continue
             choice = choose_upstream(group, attempt, candidate_set, now)
             if choice is not None:
                 return attempt, choice
             waiting.target_s[requirements] = attempt.target_s
+            tried += 1
+            if tried >= MAX_TRIED_OF_FLOW:
+                break
         waiting.flows.add(name)
-        visited += 1
-        if visited >= MAX_VISITED_FLOWS:
+        tried_flows += tried > 0
+        if tried_flows >= MAX_TRIED_FLOWS or skipped >= MAX_SKIPPED:
             break
     return None
 
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -199,6 +199,50 @@
         self.report(model, key)
         self.assertEqual(self.granted_of(model, 100, 101, 104), [100, 101])
 
+    # Guards against free slots behind a flow whose first attempts must not use them.
+    def test_many_attempts_that_wait_for_one_upstream_leave_the_others_to_the_rest(
+        self,
+    ):
+        for waiting in (7, 8, 12, 100):
+            model = FairModel()
+            fair = replace(plan(), fair_sharing=True)
+            model.group = new_group(fair, model.now)
+            for number in range(4, 4 * (SLOTS + waiting + 1), 4):
+                model.send(
+                    grant_request(
+                        number,
+                        excluded_upstreams=UPSTREAMS[1:],
+                        remaining_ms=50_000,
+                        target_ms=40_000,
+                    )
+                )
+            self.assertEqual(len(model.group.queue), waiting)
+            for number in range(4000, 4024, 4):
+                model.send(grant_request(number, remaining_ms=60_000, target_ms=55_000))
+            self.assertEqual(len(model.running()), SLOTS * len(UPSTREAMS))
+
+    # Guards against free slots behind the long requests of many accounts, which wait
+    # for the limit of long ones.
+    def test_long_requests_of_many_accounts_leave_the_slots_to_short_ones(self):
+        patient = replace(PROFILE, max_wait_ms=900_000)
+        fair = replace(plan(), fair_sharing=True, profile=patient)
+        fields = {"remaining_ms": 60_000, "target_ms": 50_000}
+        for waiting in (60, 71, 200):
+            group = new_group(fair, 100.0)
+            for number in range(1, 1000):
+                request = grant_request(
+                    number,
+                    work_class=WorkClass.LONG,
+                    client_account=f"a{number}",
+                    **fields,
+                )
+                group = decide(group, request, 100.0).state
+                if len(group.queue) == waiting:
+                    break
+            short = grant_request(9999, client_account="short", **fields)
+            group = decide(group, short, 100.1).state
+            self.assertTrue(group.attempts[short.key].upstream)
+
     # Guards against an owner that is unfair while another one grants too.
     def test_what_another_owner_granted_is_not_shared_again(self):
         loads = tuple(UpstreamLoad(name, SLOTS) for name in UPSTREAMS)
