--- a/comfreyusher/owner/_load_shedding.py
+++ b/comfreyusher/owner/_load_shedding.py
@@ -27,7 +27,11 @@
     work_ahead,
 )
 from comfreyusher.owner._handover_load import count_other_loads
-from comfreyusher.owner._queue import count_ahead, count_queued_short
+from comfreyusher.owner._queue import (
+    MILLISECONDS_PER_SECOND,
+    count_ahead,
+    count_queued_short,
+)
 
 MIN_RETRY_AFTER_MS = 100
 NO_SLOTS_RETRY_AFTER_MS = 500
@@ -41,7 +45,6 @@
 BACKLOG_MARGIN_FACTOR = 1.25
 BACKLOG_LATE_SHARE = 0.5
 MOSTLY_URGENT_SHARE = 0.5
-MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
