--- a/comfreyusher/owner/_fair_queue.py
+++ b/comfreyusher/owner/_fair_queue.py
@@ -147,17 +147,6 @@
         return self.own_ms + self.others_ms + self.urgent_ms
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueSummary:
-    """What is queued, for logs; ``longest`` is the account with the most work."""
-
-    queued: int
-    accounts: int
-    flows: int
-    longest_ms: int
-    longest: str
-
-
 def iterate_flows(queue):
     """Yield the flows in the order of their turns, each with its key of ``flow_of``.
 
@@ -357,17 +346,6 @@
     )
 
 
-def summarize_queue(queue):
-    """Return the ``QueueSummary`` of a queue."""
-    if type(queue) is not FairQueue:
-        return QueueSummary(len(queue), 0, 0, 0, "")
-    ranks = queue.ranks.values()
-    accounts = [(sum(a.work_ms), name) for r in ranks for name, a in r.accounts.items()]
-    flows = sum(len(a.flows) for r in ranks for a in r.accounts.values())
-    work_ms, longest = max(accounts, default=(0, ""))
-    return QueueSummary(len(queue), len(accounts), flows, work_ms, longest)
-
-
 def is_light(queue, request):
     """Tell whether the account has queued less than half of the mean of its rank.
 
--- a/comfreyusher/owner/_task.py
+++ b/comfreyusher/owner/_task.py
@@ -23,10 +23,10 @@
     Verdict,
 )
 from comfreyusher.owner._decide import decide
-from comfreyusher.owner._fair_queue import summarize_queue
 from comfreyusher.owner._hedge_counts import HedgeCounts
 from comfreyusher.owner._messages import DATAGRAMS_CHANNEL, CheckDue, Leave, PlanChanged
 from comfreyusher.owner._periodic_checks import CHECK_PERIOD_S
+from comfreyusher.owner._queue_summary import summarize_queue
 from comfreyusher.owner._return_times import NO_REFUSALS, count_new_refusals
 from comfreyusher.owner._state import new_group
 from comfreyusher.owner._trace import owner_span
