--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -250,7 +250,7 @@
     Mutation(
         "high-priority requests wait behind low-priority ones",
         "overload",
-        "comfreyusher/owner/_queue.py",
+        "comfreyusher/owner/_fair_queue.py",
         "        request.priority, attempt.deadline_s, attempt.queued_s, request.key",
         "        0, attempt.deadline_s, attempt.queued_s, request.key",
         OVERLOAD,
@@ -259,7 +259,7 @@
         "requests that would miss their deadline are queued",
         "overload",
         "comfreyusher/owner/_load_shedding.py",
-        "    return now + estimate.wait_s + min_service_s > due_s",
+        "    return now + wait_s + min_service_s > due_s",
         "    return False",
         OVERLOAD,
     ),
