--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -228,10 +228,6 @@
         self.assertGreaterEqual(self.receive_endlessly(first, b"a" * 65536), MAX_BYTES)
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class ResponseDuringUploadTests(ClientCase):
     """A server responds without a length while the request is still being sent."""
 
@@ -311,3 +307,7 @@
         self.receive(number, b"HTTP/1.1 %03d X\r\nContent-Length: 0\r\n\r\n" % status)
         self.assertEqual(self.pop_messages(ClientResponseStart), [])
         self.assertNotIn(number, self.client.states)
+
+
+if __name__ == "__main__":
+    unittest.main()
