--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,139 +1,150 @@
-"""A backend that has left gets new work after the store was restored from a copy."""
+"""Uploads whose clients have left are still sent to backends, which run them."""
 
 import asyncio
+import os
 import pathlib
+import socket
 import sys
 
 from review.second import client
 from review.second.deployment import Backend, run_case
 
 HOST = "h.example"
-DRAIN_S = 2.5
-STABLE_WINDOW_S = 3.0
-HEARTBEAT_S = 1.5
-# The time that the leaving backend goes on serving, "at times many seconds".
-LEAVING_S = 7.7
-AWAY_AFTER_S = 3.6
-AWAY_S = 0.4
-COPY_AGE_S = 5.5
-# The core is stable again, and three heartbeat intervals are not over yet.
-BOOKINGS_AFTER_S = STABLE_WINDOW_S + 0.5
-WORK_S = 0.26
+DEADLINE_MS = 6000
 NODES = ("n1", "n2")
+BACKENDS = 8
+SLOTS = 3
+# The longest work of such an upload in the site file is 2600 ms.
+WORK_S = 2.0
+UPLOAD_BYTES = 1_330_000
+# The clients that fill all slots, those that wait behind them, and those that leave.
+FIRST = BACKENDS * SLOTS
+WAITING = 6
+LEAVING = 12
+LEAVE_AFTER_S = 0.6
+# The rule: "more than a few requests reach a backend over half a second later".
+LATE_S = 0.5
+FEW = 5
+TCP_FIN_WAIT2 = 5
+BODY = os.urandom(UPLOAD_BYTES)
 
 
 class Case:
-    """The bookings of the case, and the backend that leaves."""
+    """The uploads of the case, and when their clients left."""
 
-    def __init__(self, deployment, record):
+    def __init__(self, deployment, record, trouble):
         self.deployment = deployment
         self.record = record
-        self.leaving = None
-        self.backends = []
-        self.running = set()
+        self.trouble = trouble
+        self.left_s = {}
+        self.late = []
+        self.late_runs = []
+
+    def note_arrival(self, backend, request):
+        """Record that a request has reached a backend."""
+        request_id = request.headers["x-request-id"]
+        left_s = self.left_s.get(request_id)
+        if left_s is None:
+            return
+        after_s = self.record.now() - left_s
+        self.record.write(
+            f"reached id={request_id} {backend.name} {after_s:.2f}s after the close"
+        )
+        if after_s > LATE_S:
+            self.late.append(request_id)
 
     async def respond(self, backend, request, writer):
-        """Run a booking; a leaving backend says so in its answers."""
+        """Run an upload, and answer it."""
         backend.run(request)
-        work = asyncio.ensure_future(asyncio.sleep(WORK_S))
-        self.running.add((backend, work, writer))
-        await work
-        headers = [("Server-Leaving", "1")] if backend is self.leaving else []
-        await backend.send(writer, request, 200, headers, b"booked", seal=True)
+        if request.headers["x-request-id"] in self.left_s:
+            self.late_runs.append(request.headers["x-request-id"])
+        await asyncio.sleep(WORK_S)
+        await backend.send(writer, request, 200, [], b"stored", seal=True)
         return True
 
-    async def book(self, count):
-        """Send bookings at the same time; return their responses by id."""
-        jobs = {}
-        for number in range(count):
-            request_id = client.new_id()
-            request = client.build_request(
-                "POST", HOST, f"/book/{number}", request_id, 4000, b"{}"
-            )
-            port = self.deployment.nodes[NODES[number % 2]]["front"]
-            jobs[request_id] = client.fetch(self.record, port, request, request_id, 4)
-        responses = await asyncio.gather(*jobs.values())
-        return dict(zip(jobs, responses, strict=True))
-
-    async def leave(self):
-        """Let a backend leave without reporting ``draining``, and then exit."""
-        self.leaving = self.backends[-1]
-        self.deployment.backends.remove(self.leaving)
-        await asyncio.to_thread(
-            self.deployment.write_entry, "keyed.servers", self.leaving.name, None
+    async def upload(self, port, leaves):
+        """Send an upload, and wait for its answer or leave before that."""
+        request_id = client.new_id()
+        request = client.build_request(
+            "POST", HOST, "/scans/x", request_id, DEADLINE_MS, BODY
+        )
+        if not leaves:
+            return await client.fetch(self.record, port, request, request_id, 6.0)
+        reader, writer = await client.open_streams(port)
+        self.record.write(f"sent id={request_id}, whose client leaves")
+        writer.write(request)
+        await asyncio.wait_for(writer.drain(), 5.0)
+        await asyncio.sleep(LEAVE_AFTER_S)
+        await self.leave(writer, request_id)
+        return None
+
+    async def leave(self, writer, request_id):
+        """Close a connection, and record when the close has reached the node.
+
+        The kernel of the client then knows that its end of the stream was received.
+        """
+        own = writer.get_extra_info("socket")
+        own.shutdown(socket.SHUT_RDWR)
+        state = 0
+        for _ in range(100):
+            state = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+            if state == TCP_FIN_WAIT2:
+                break
+            await asyncio.sleep(0.01)
+        writer.close()
+        if state == TCP_FIN_WAIT2:
+            self.left_s[request_id] = self.record.now()
+        self.record.write(
+            f"closed id={request_id}, received by the node={state == TCP_FIN_WAIT2}"
         )
-        self.record.write(f"store: the entry of {self.leaving.name} is removed")
-        return self.record.now()
-
-    async def exit_later(self, removed_s):
-        """End the leaving backend once its time is over."""
-        await asyncio.sleep(removed_s + LEAVING_S - self.record.now())
-        self.leaving.server.close()
-        for backend, work, writer in self.running:
-            if backend is self.leaving:
-                work.cancel()
-                writer.transport.abort()
-        self.record.write(f"{self.leaving.name} has exited")
-
-    async def restore_store(self):
-        """Take the store away for a moment; it comes back from an older copy."""
-        control = self.deployment.control_store
-        await asyncio.to_thread(control, "/control", down="busy")
-        self.record.write("store: away")
-        await asyncio.sleep(AWAY_S)
-        await asyncio.to_thread(control, "/restore", age_ms=int(COPY_AGE_S * 1000))
-        await asyncio.to_thread(control, "/control", down="")
-        self.record.write(f"store: back from a copy {COPY_AGE_S} s old, next era")
-
-    async def play(self, trouble):
-        """Return whether the backend got no booking later than ``drain``."""
+
+    async def play(self):
+        """Return whether few uploads reached a backend after their client's close."""
         deployment, record = self.deployment, self.record
         deployment.start_store()
-        deployment.control_store("/control", names_era=True)
-        for number in range(4):
-            backend = Backend(record, f"i-{number}", "orders", self.respond, slots=4)
-            self.backends.append(backend)
+        for number in range(BACKENDS):
+            backend = ObservedBackend(
+                record, f"i-{number}", "scans", self.respond, slots=SLOTS
+            )
+            backend.note_arrival = self.note_arrival
             await deployment.add_backend(backend)
-        route = client.build_route(HOST, "/book/", "unsafe", "orders", "4000ms")
-        deployment.write_configuration(5, {"r-1": route}, ["orders"])
+        route = client.build_route(HOST, "/scans/", "upload", "scans", "6000ms")
+        deployment.write_configuration(5, {"r-1": route}, ["scans"])
         for name in NODES:
             deployment.add_node(name)
             deployment.start_node(name)
         for name in NODES:
             await deployment.wait_ready(name)
         await asyncio.sleep(4.0)
-        await self.book(16)
-        await asyncio.sleep(1.0)
-        removed_s = await self.leave()
-        leaving = asyncio.create_task(self.exit_later(removed_s))
-        await asyncio.sleep(AWAY_AFTER_S)
-        if trouble:
-            await self.restore_store()
-        await asyncio.sleep(BOOKINGS_AFTER_S)
-        responses = await self.book(16)
-        await leaving
-        return self.judge(responses, removed_s)
-
-    def judge(self, responses, removed_s):
-        """Write down the bookings that came too late, and what became of them."""
-        late = [
-            (at_s, request_id)
-            for at_s, request_id in self.leaving.runs
-            if at_s > removed_s + DRAIN_S
-        ]
-        for at_s, request_id in late:
-            response = responses[request_id]
-            self.record.write(
-                f"id={request_id} reached {self.leaving.name} "
-                f"{at_s - removed_s:.2f}s after its removal; "
-                f"its client got {response.status if response else 'no answer'}"
-            )
-        return not late
+        kinds = [False] * (FIRST + WAITING) + [self.trouble] * LEAVING
+        uploads = []
+        for number, leaves in enumerate(kinds):
+            port = deployment.nodes[NODES[number % 2]]["front"]
+            uploads.append(asyncio.create_task(self.upload(port, leaves)))
+            await asyncio.sleep(0.03)
+        await asyncio.gather(*uploads)
+        await asyncio.sleep(3.0)
+        record.write(
+            f"left={len(self.left_s)} of them reached a backend over {LATE_S}s later="
+            f"{len(self.late)} and were run={len(self.late_runs)}"
+        )
+        return len(self.late) <= FEW
+
+
+class ObservedBackend(Backend):
+    """A backend that tells when the head of a request has reached it."""
+
+    note_arrival = None
+
+    async def handle(self, reader, writer, request):
+        """Note the arrival, and handle the request as any backend."""
+        self.note_arrival(self, request)
+        return await super().handle(reader, writer, request)
 
 
 async def play(deployment, record, trouble):
     """Play the case."""
-    return await Case(deployment, record).play(trouble)
+    return await Case(deployment, record, trouble).play()
 
 
 if __name__ == "__main__":
--- a/review/second/client.py
+++ b/review/second/client.py
@@ -46,6 +46,11 @@
     return http1.encode(f"{method} {target} HTTP/1.1", fields, body)
 
 
+async def open_streams(port):
+    """Return the streams of a new connection to a node."""
+    return await asyncio.open_connection(HOST, port)
+
+
 class Connection:
     """A client's connection to a node, kept from one request to the next."""
 
--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -97,13 +97,14 @@
                 request = await http1.read_head(reader)
                 if request is None:
                     break
-                keep = await self._handle(reader, writer, request)
+                keep = await self.handle(reader, writer, request)
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
-    async def _handle(self, reader, writer, request):
+    async def handle(self, reader, writer, request):
+        """Read the rest of a request and answer it; return whether to keep on."""
         expected = request.headers.get("x-expect-instance", self.name)
         await http1.read_body(reader, request)
         if not request.complete:
