--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,10 +23,12 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 BEAT_S = 1.5
+PORTS = (15000, 30000)
 KEYS = {
     "COMFREYUSHER_PEER_KEY": "replace-this-key-between-the-nodes",
     "COMFREYUSHER_OPERATOR_KEY": "replace-this-key-of-the-operators",
 }
+used_ports = set()
 ZONES = {"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b"}
 
 
@@ -51,16 +54,22 @@
 
 
 def find_free_port():
-    """Return a loopback port that is free for TCP and UDP."""
-    for _ in range(100):
+    """Return a loopback port that is free for TCP and UDP, another one each time.
+
+    The kernel takes ports from above these for outgoing connections.
+    """
+    for _ in range(1000):
+        port = random.randrange(*PORTS)
+        if port in used_ports:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-            return port
+        used_ports.add(port)
+        return port
     raise CannotRun("no free port")
 
 
@@ -385,6 +394,7 @@
         held = asyncio.run(play())
     except (TimeoutError, CannotRun, OSError) as error:
         record.write(f"cannot run: {error!r}")
+        print(f"cannot run: {error!r}", file=sys.stderr)
         return 2
     record.write("the rule held" if held else "the rule was broken")
     return 0 if held else 1
