Do not hand on an upstream's refusal of a request that may have run

Callers take 408, 421, 429 and 503 for the promise that a request has not run.

Hypotheses, told apart by log lines that exist: the upstream's own response is handed on (`attempt failed` with verdict fault, then `answered` done 503); this node refuses after a connection that it takes for unused (unreached, not-run); it refuses while an attempt still runs (not-run, no line for that attempt).

Upstreams that state that they did not run a request never reach this point, so any such status of a non-idempotent request that does is answered with 502, unknown and unsealed.

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -23,6 +23,8 @@
 from comfreyusher.entry._responses import (
     UpstreamResponse,
     continue_stream,
+    is_unconfirmed_refusal,
+    replace_refusal,
     send_held_response,
     send_response,
     start_stream,
@@ -170,6 +172,8 @@
     verdict = classify_response(attempt.head, attempt.said)
     if verdict is not Verdict.GOOD:
         return _end_large_failure(state, request, attempt, verdict)
+    if is_unconfirmed_refusal(request, attempt.head):
+        return _end_large_refusal(state, request, attempt)
     if request.accounted and not request.replication_finished:
         return end_pipe(state, request)
     step = start_stream(state, request, attempt)
@@ -200,6 +204,18 @@
     return end_pipe(step.state, step.item, cancel, *step.messages)
 
 
+def _end_large_refusal(state, request, attempt):
+    """End a request whose large response must not be sent to the caller.
+
+    Its upstream has answered, so that the attempt is reported as a good one.
+    """
+    cancel = Envelope(UPSTREAMS, ClientRequestCancel(attempt.key))
+    report = build_report(state, request, attempt, Verdict.GOOD)
+    request = replace_attempt(request, replace(attempt, phase=AttemptPhase.ENDED))
+    step = replace_refusal(state, request, attempt.head)
+    return end_pipe(step.state, step.item, cancel, report, *step.messages)
+
+
 def classify_response(head, upstream_headers):
     """Return the verdict on a response, judged by its head and what that says."""
     if upstream_headers.misdirected:
--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -11,7 +11,7 @@
     find_other_loads,
     is_busy,
 )
-from comfreyusher.entry._responses import send_error, send_response
+from comfreyusher.entry._responses import UNKNOWN_STATUS, send_error, send_response
 from comfreyusher.entry._state import (
     Attempt,
     AttemptPhase,
@@ -305,11 +305,11 @@
 def give_up(state, request, reason, retry_after_ms=0):
     """End a request without a successful response.
 
-    The caller gets the error response of an upstream if there is one. Otherwise
-    the outcome tells whether the request may have run.
+    The caller gets the error response of an upstream if there is one that may be
+    sent. Otherwise the outcome tells whether the request may have run.
     """
     if request.failed_responses and not request.streaming_attempt:
         return send_response(state, request, request.failed_responses[0])
     if request.may_have_run or request.streaming_attempt:
-        return send_error(state, request, Outcome.UNKNOWN, 502, reason)
+        return send_error(state, request, Outcome.UNKNOWN, UNKNOWN_STATUS, reason)
     return send_error(state, request, Outcome.NOT_RUN, 503, reason, retry_after_ms)
--- a/comfreyusher/entry/_responses.py
+++ b/comfreyusher/entry/_responses.py
@@ -27,6 +27,9 @@
     name.lower() for name in (OUTCOME_HEADER, REQUEST_ID_HEADER, UPSTREAM_HEADER)
 )
 CALLERS = "callers"
+# Statuses by which callers take a request for one that has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+UNKNOWN_STATUS = 502
 
 
 def send_error(state, request, outcome, status, reason, retry_after_ms=0):
@@ -113,11 +116,30 @@
     upstream: str
 
 
+def is_unconfirmed_refusal(request, head):
+    """Tell whether an upstream's status would make a promise to the caller.
+
+    An upstream states in a header that it has not run a request. Such a request is
+    retried or answered by this node, so its response is never sent to the caller. A
+    response without the statement may follow a run, whatever its status is. An
+    idempotent request may be repeated, so its response is sent unchanged.
+    """
+    return head.status in NOT_RUN_STATUSES and not request.match.route.idempotent
+
+
+def replace_refusal(state, request, head):
+    """End a request whose upstream refused it and may have run it."""
+    reason = f"the upstream answered {head.status} and may have run the request"
+    return send_error(state, request, Outcome.UNKNOWN, UNKNOWN_STATUS, reason)
+
+
 def send_response(state, request, response):
     """Send a complete response, or hold it until replication has finished.
 
     Only responses of requests with an account entry wait for replication.
     """
+    if is_unconfirmed_refusal(request, response.head):
+        return replace_refusal(state, request, response.head)
     if request.accounted and not request.replication_finished:
         held = ResponseHeld(request.exchange, len(response.body))
         request = replace(request, held_responses=(response,))
