Let the entry task answer a request whose body stops arriving

The server task answered 408 after 30 s without bytes of a body, which promises that the request has not run. A body is sent to an upstream while it arrives, so an upstream could be at work on it. The server task cannot know; it now tells its consumer, and the entry task answers 408 not-run, or 504 unknown once the request may have arrived at an upstream. Measured: three tests of test_entry_refusals (BodyTimeoutTests, StalledCallerTests) failed before and pass.

--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -39,6 +39,7 @@
 from comfreyusher.entry._timeouts import (
     end_for_shutdown,
     end_overdue,
+    end_stalled_body,
     is_overdue,
 )
 from comfreyusher.entry._tokens import (
@@ -70,6 +71,7 @@
     QueuedAck,
     ReportAck,
     RequestBody,
+    RequestBodyTimedOut,
     RequestStart,
     ResponseCredit,
     Verdict,
@@ -112,6 +114,7 @@
         self.message_handlers = {
             RequestStart: self.handle_request_start,
             RequestBody: self.handle_request_body,
+            RequestBodyTimedOut: self.handle_request_body_timed_out,
             CallerDisconnected: self.handle_caller_disconnected,
             ResponseCredit: self.handle_response_credit,
             QueuedAck: self.owner_handler(handle_queued_ack),
@@ -235,6 +238,12 @@
         if request is not None:
             self.run(add_body, request, chunk)
 
+    def handle_request_body_timed_out(self, timed_out):
+        """Answer a request whose body stopped arriving."""
+        request = self.requests.get(timed_out.exchange)
+        if request is not None:
+            self.run(end_stalled_body, request, timed_out)
+
     def _start_early_requests(self):
         """Start the requests that arrived before the first view of the node."""
         early_requests, self.early_requests = self.early_requests, []
--- a/comfreyusher/entry/_timeouts.py
+++ b/comfreyusher/entry/_timeouts.py
@@ -1,4 +1,4 @@
-"""Decisions on requests whose deadline has passed, and at shutdown."""
+"""Decisions on requests that time out, and at shutdown."""
 
 from comfreyusher.entry._attempt_ends import cancel_all
 from comfreyusher.entry._attempts import TIMEOUT_STATUS
@@ -10,6 +10,7 @@
 
 RESPONSE_GRACE_S = 0.1
 STREAM_GRACE_S = 0.4
+BODY_TIMEOUT_STATUS = 408
 
 
 def end_overdue(state, request):
@@ -33,19 +34,45 @@
     return _end_unanswered(state, request, reason, reason)
 
 
-def _end_unanswered(state, request, unknown_reason, not_run_reason):
-    """End a request; the reason depends on whether it may have run."""
+def end_stalled_body(state, request, _):
+    """Answer a request whose caller stopped sending its body.
+
+    An upstream may already work on what has arrived. A response that only waits for
+    the replication of its account entry is sent after that.
+    """
+    if request.held_responses:
+        return end_pipe(state, request)
+    reason = "the request body took too long"
+    return _end_unanswered(
+        state, request, reason, reason, BODY_TIMEOUT_STATUS, Verdict.CANCELLED
+    )
+
+
+def _end_unanswered(
+    state,
+    request,
+    unknown_reason,
+    not_run_reason,
+    not_run_status=503,
+    verdict=Verdict.LATE,
+):
+    """End a request; status and reason depend on whether it may have run.
+
+    ``verdict`` is the one on its attempts.
+    """
     reached_upstream = any(
         attempt.phase is AttemptPhase.SENT for attempt in live_attempts(request)
     )
-    cancels = cancel_all(state, request, Verdict.LATE)
+    cancels = cancel_all(state, request, verdict)
     request = cancels.item
     if reached_upstream or request.may_have_run:
         step = send_error(
             state, request, Outcome.UNKNOWN, TIMEOUT_STATUS, unknown_reason
         )
     else:
-        step = send_error(state, request, Outcome.NOT_RUN, 503, not_run_reason)
+        step = send_error(
+            state, request, Outcome.NOT_RUN, not_run_status, not_run_reason
+        )
     return end_pipe(step.state, step.item, *cancels.messages, *step.messages)
 
 
--- a/comfreyusher/http/_server_bounds.py
+++ b/comfreyusher/http/_server_bounds.py
@@ -5,7 +5,12 @@
 from comfreyusher.http._encode import build_text_response, encode_response_head
 from comfreyusher.http._memory_budget import MemoryBudget, choose_connections
 from comfreyusher.http._pipelining import SharedSlots
-from comfreyusher.messages import CallerDisconnected, CallerMemory, Outcome
+from comfreyusher.messages import (
+    CallerDisconnected,
+    CallerMemory,
+    Outcome,
+    RequestBodyTimedOut,
+)
 
 OUTCOME_HEADER = b"Comfreyusher-Outcome"
 NOT_RUN_HEADERS = ((OUTCOME_HEADER, Outcome.NOT_RUN.value.encode()),)
@@ -188,7 +193,8 @@
             self.close(number)
 
     def _time_out_body(self, number, state):
+        """Let the consumer answer, which knows whether the request may have run."""
         if state.response_started:
             self.abort(number)
             return
-        self._send_error(number, 408, "the request body took too long")
+        self.send_message(self.consumer, RequestBodyTimedOut(state.exchange))
--- a/comfreyusher/messages/_exchange.py
+++ b/comfreyusher/messages/_exchange.py
@@ -41,6 +41,17 @@
     ended: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestBodyTimedOut:
+    """No bytes of an unfinished request body came for too long.
+
+    The user of the server task answers the request, since only it knows whether the
+    request may have run.
+    """
+
+    exchange: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestCredit:
     """Flow-control credit: the user of a server task consumed request bytes.
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -5,16 +5,18 @@
 
 from comfreyusher.accounts import ReplicationFinished
 from comfreyusher.entry import EndRequests
-from comfreyusher.flow import replace
+from comfreyusher.flow import Accepted, Received, Tick, replace
 from comfreyusher.messages import (
     ClientRequestCancel,
     ClientRequestStart,
     ClientResponseBody,
     ClientResponseStart,
+    RequestBodyTimedOut,
     ResponseHead,
     find_header,
 )
 from tests.test_entry import SEAL, EntryCase
+from tests.test_unread_responses import FakeServer
 
 ID = (b"X-Request-Id", b"r1")
 NOT_EXECUTED = (b"X-Not-Executed", b"1")
@@ -139,5 +141,45 @@
                 self.assertEqual(find_header(response.head, b"retry-after"), "0.3")
 
 
+class BodyTimeoutTests(EntryCase):
+    """Callers that stop sending a request body."""
+
+    ROUTE = replace(EntryCase.ROUTE, idempotent=False, deadline_ms=60_000)
+
+    def time_out(self):
+        self.deliver(RequestBodyTimedOut(1))
+        (response,) = self.pop_responses()
+        return response.head.status, find_header(response.head, b"comfreyusher-outcome")
+
+    # Guards against 408 for an upload that an upstream works on already.
+    def test_a_request_that_was_sent_may_have_run(self):
+        self.send_request(method="POST", body=b"part", ended=False)
+        key = self.grant()
+        self.assertEqual(self.time_out(), (504, "unknown"))
+        self.assertEqual(self.pop_messages(ClientRequestCancel)[0].exchange, key)
+
+    def test_a_request_that_was_not_sent_has_not_run(self):
+        self.send_request(method="POST", body=b"part", ended=False)
+        self.assertEqual(self.time_out(), (408, "not-run"))
+        self.grant()
+        self.assertEqual(self.pop_messages(ClientRequestStart), [])
+
+
+class StalledCallerTests(unittest.TestCase):
+    # Guards against a server task that answers 408 though it cannot tell whether the
+    # request has been passed on.
+    def test_the_server_leaves_the_answer_to_the_entry_task(self):
+        server = FakeServer(body_timeout_s=2.0)
+        sent = []
+        server.send_message = lambda channel, body: sent.append(body)
+        server.on_accepted(Accepted(1, "10.0.0.1"))
+        head = b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+        server.on_received(Received(1, head + b"part"))
+        server.now += 3.0
+        server.handle_tick(Tick("sweep", server.now))
+        self.assertEqual(server.unsent[1], 0)
+        self.assertIn(RequestBodyTimedOut(sent[0].exchange), sent)
+
+
 if __name__ == "__main__":
     unittest.main()
