Do not give a request up while one of its attempts still runs

A grant for a hedge that the entry node returns to its owner starts a further attempt. If none was allowed any more (the request was quarantined meanwhile, or its service had no group left), the request ended as not-run with 503 although its first attempt was running; that attempt was not cancelled either, and its answer was dropped. Every way of giving up now waits for attempts that still run. Only idempotent requests are hedged, so no request ran twice by this.

Found by following each 503 of this node back to the attempts that it speaks for. A state machine (test_entry_refusals.OneRequest) now checks one request under any order of grants, denials, responses, cuts, timeouts, quarantines and stops: no status and no outcome promises more than what upstreams stated, nothing is sent after the answer, and no upstream is left at work.

--- a/comfreyusher/entry/_grant_requests.py
+++ b/comfreyusher/entry/_grant_requests.py
@@ -303,11 +303,13 @@
 
 
 def give_up(state, request, reason, retry_after_ms=0):
-    """End a request without a successful response.
+    """End a request without a successful response, unless an attempt still runs.
 
     The caller gets the error response of an upstream if there is one that may be
     sent. Otherwise the outcome tells whether the request may have run.
     """
+    if live_attempts(request):
+        return end_pipe(state, request)
     if request.failed_responses and not request.streaming_attempt:
         return send_response(state, request, request.failed_responses[0])
     if request.may_have_run or request.streaming_attempt:
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -42,8 +42,33 @@
 STATEMENTS = "tests.test_upstream_statements"
 ERA = "tests.test_store_era"
 PIPELINING = "tests.test_pipelining"
+REFUSALS = "tests.test_entry_refusals"
 ERA_FEEDS = "tests.test_store_era_feeds"
 MUTATIONS = (
+    Mutation(
+        "an upstream's refusal that states nothing is handed on",
+        "not run",
+        "comfreyusher/entry/_responses.py",
+        "    return head.status in NOT_RUN_STATUSES and",
+        "    return False and",
+        REFUSALS,
+    ),
+    Mutation(
+        "such a refusal is streamed if it is large",
+        "not run",
+        "comfreyusher/entry/_attempts.py",
+        "    if is_unconfirmed_refusal(request, attempt.head):",
+        "    if False:",
+        REFUSALS,
+    ),
+    Mutation(
+        "a request is given up while an attempt still runs",
+        "not run",
+        "comfreyusher/entry/_grant_requests.py",
+        "    if live_attempts(request):",
+        "    if False:",
+        REFUSALS,
+    ),
     Mutation(
         "a departure is forgotten when the store says ready",
         "drain",
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -1,27 +1,54 @@
 """Statuses by which a caller takes a request for one that has not run."""
 
+import dataclasses
 import unittest
 import unittest.mock
 
+import immutables
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
 from comfreyusher.accounts import ReplicationFinished
 from comfreyusher.entry import EndRequests
 from comfreyusher.flow import Accepted, Received, Tick, replace
 from comfreyusher.messages import (
+    AttemptKey,
+    CallerDisconnected,
     ClientRequestCancel,
+    ClientRequestFailed,
     ClientRequestStart,
     ClientResponseBody,
     ClientResponseStart,
+    Denial,
+    DenialReason,
+    QueuedAck,
+    RequestBody,
     RequestBodyTimedOut,
     ResponseHead,
+    ResponseStart,
     find_header,
 )
-from tests.test_entry import SEAL, EntryCase
+from comfreyusher.quarantine import QuarantinesChanged
+from tests.test_entry import OK, OWN, SEAL, EntryCase
 from tests.test_unread_responses import FakeServer
 
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Statuses that an upstream may add X-Not-Executed to.
+REFUSING_STATUSES = (400, 421, 429, 503)
+STATUSES = (200, 400, 404, 408, 421, 429, 500, 502, 503, 504)
 ID = (b"X-Request-Id", b"r1")
 NOT_EXECUTED = (b"X-Not-Executed", b"1")
-RETRY_AFTER = (b"Retry-After", b"0.3")
+RETRY_AFTER = (b"Retry-After", b"2.5")
 LARGE = b"x" * 70000
+# Steps of the request itself, before its caller or its node ends it.
+STEPS_BEFORE_END = 8
 
 
 def upstream_head(status, *headers):
@@ -138,7 +165,7 @@
                     self.deliver(ClientResponseStart(key, head, b"no", True))
                 response = self.pop_responses()[0]
                 self.assertEqual((response.head.status, response.body), (status, b"no"))
-                self.assertEqual(find_header(response.head, b"retry-after"), "0.3")
+                self.assertEqual(find_header(response.head, b"retry-after"), "2.5")
 
 
 class BodyTimeoutTests(EntryCase):
@@ -181,5 +208,211 @@
         self.assertIn(RequestBodyTimedOut(sent[0].exchange), sent)
 
 
+class HedgeTests(EntryCase):
+    # Guards against 503 for a request that runs at one upstream, while the grant of
+    # its hedge goes back to the owner and no further attempt is allowed.
+    def test_a_request_is_not_given_up_while_an_attempt_runs(self):
+        self.send_request(method="POST")
+        key = self.grant(typical_ms=50)
+        self.advance(0.3)
+        busy = upstream_head(503, NOT_EXECUTED, RETRY_AFTER)
+        self.send_request(2, "GET")
+        self.deliver(ClientResponseStart(self.grant(1, "u2", 2), busy, b"", True))
+        fingerprint = self.task.requests[1].fingerprint
+        ends = immutables.Map({fingerprint: self.now + 60})
+        self.deliver(QuarantinesChanged(ends))
+        self.pop_responses()
+        self.grant(2, "u2")
+        self.assertEqual(self.pop_responses(), [])
+        self.deliver(ClientResponseStart(key, OK, b"done", True))
+        self.assertEqual(self.pop_responses()[0].body, b"done")
+
+
+@dataclasses.dataclass
+class Sent:
+    """An attempt that an upstream got, and what the upstream told of it."""
+
+    key: AttemptKey
+    started: bool = False
+    ended: bool = False
+    refused: bool = False
+
+
+class OneRequest(RuleBasedStateMachine):
+    """One request under any order of messages, up to its answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.case = EntryCase()
+        self.now_sent = {}
+        self.answers = []
+        self.left = False
+        self.body_ended = True
+        self.steps = 0
+
+    @initialize(
+        idempotent=st.booleans(),
+        ended=st.booleans(),
+        accounted=st.booleans(),
+        size=st.sampled_from((0, 3, 2 << 20)),
+    )
+    def start(self, idempotent, ended, accounted, size):
+        self.idempotent = idempotent
+        self.case.setUp()
+        route = replace(EntryCase.ROUTE, idempotent=idempotent, max_attempts=3)
+        self.case.send_node_view(route, regions=("r1", "r2"))
+        self.body_ended = ended
+        self.case.send_request(method="POST", body=b"b" * size, ended=ended)
+        if accounted and self.request is not None:
+            self.case.task.requests[1] = replace(self.request, accounted=True)
+
+    @property
+    def request(self):
+        return self.case.task.requests.get(1)
+
+    def attempts(self):
+        """Return the keys of all attempts so far, a request that ended has none."""
+        return [a.key for a in self.request.attempts] if self.request else []
+
+    def open_attempts(self):
+        return [sent for sent in self.now_sent.values() if not sent.ended]
+
+    # Owners
+
+    @rule(data=st.data(), upstream=st.sampled_from(("u1", "u2", "u3")))
+    def grant(self, data, upstream):
+        numbers = st.integers(1, max(1, len(self.attempts())))
+        self.case.grant(data.draw(numbers), upstream)
+
+    @rule(data=st.data(), reason=st.sampled_from(DenialReason))
+    def deny(self, data, reason):
+        number = data.draw(st.integers(1, max(1, len(self.attempts()))))
+        self.case.deliver(Denial(AttemptKey(OWN, 1, number), reason, 100))
+
+    @rule(data=st.data())
+    def queue(self, data):
+        number = data.draw(st.integers(1, max(1, len(self.attempts()))))
+        self.case.deliver(QueuedAck(AttemptKey(OWN, 1, number)))
+
+    # Upstreams
+
+    @precondition(lambda self: any(not s.started for s in self.open_attempts()))
+    @rule(
+        data=st.data(),
+        status=st.sampled_from(STATUSES),
+        not_executed=st.booleans(),
+        sealed=st.booleans(),
+        body=st.sampled_from((b"", b"part", LARGE)),
+        ended=st.booleans(),
+    )
+    def respond(self, data, status, not_executed, sealed, body, ended):
+        waiting = [s for s in self.open_attempts() if not s.started]
+        sent = data.draw(st.sampled_from(waiting))
+        headers = [ID, *([SEAL] if sealed else [])]
+        headers += [NOT_EXECUTED, RETRY_AFTER] if not_executed else []
+        sent.started, sent.ended = True, ended
+        sent.refused = status == 421 or (not_executed and status in REFUSING_STATUSES)
+        head = ResponseHead(status, tuple(headers))
+        self.case.deliver(ClientResponseStart(sent.key, head, body, ended))
+
+    @precondition(lambda self: any(s.started for s in self.open_attempts()))
+    @rule(data=st.data(), ended=st.booleans(), body=st.sampled_from((b"", LARGE)))
+    def respond_more(self, data, ended, body):
+        streams = [s for s in self.open_attempts() if s.started]
+        sent = data.draw(st.sampled_from(streams))
+        sent.ended = ended
+        self.case.deliver(ClientResponseBody(sent.key, body, ended))
+
+    @precondition(lambda self: self.open_attempts())
+    @rule(data=st.data(), arrived=st.booleans())
+    def fail(self, data, arrived):
+        sent = data.draw(st.sampled_from(self.open_attempts()))
+        sent.ended = True
+        arrived = arrived or sent.started
+        sent.refused = sent.refused or not arrived
+        self.case.deliver(ClientRequestFailed(sent.key, arrived, sent.started, "cut"))
+
+    # The caller and the node
+
+    @precondition(lambda self: not self.body_ended)
+    @rule(ended=st.booleans())
+    def send_body(self, ended):
+        self.body_ended = ended
+        self.case.deliver(RequestBody(1, b"more", ended))
+
+    @precondition(lambda self: not self.body_ended)
+    @precondition(lambda self: self.steps >= STEPS_BEFORE_END)
+    @rule()
+    def time_out_body(self):
+        self.case.deliver(RequestBodyTimedOut(1))
+
+    @precondition(lambda self: self.steps >= STEPS_BEFORE_END)
+    @rule()
+    def leave(self):
+        self.left = True
+        self.case.deliver(CallerDisconnected(1))
+
+    @rule(seconds=st.sampled_from((0.05, 0.3)))
+    def wait(self, seconds):
+        self.case.advance(seconds)
+
+    @rule()
+    def quarantine(self):
+        if self.request is not None:
+            ends = {self.request.fingerprint: self.case.now + 60}
+            self.case.deliver(QuarantinesChanged(immutables.Map(ends)))
+
+    @rule()
+    def replicate(self):
+        self.case.deliver(ReplicationFinished(1, True))
+
+    @precondition(lambda self: self.steps >= STEPS_BEFORE_END)
+    @rule()
+    def stop(self):
+        self.case.deliver(EndRequests())
+
+    # What must hold
+
+    @invariant()
+    def check(self):
+        """Look at what was sent since the last step, in its order."""
+        self.steps += 1
+        messages, self.case.sent = self.case.sent, []
+        for _, body in messages:
+            if isinstance(body, ClientRequestStart):
+                self.check_send(body)
+            elif isinstance(body, ClientRequestCancel):
+                self.end(body.exchange)
+            elif isinstance(body, ResponseStart):
+                self.check_answer(body.head)
+        if self.request is None:
+            assert not self.open_attempts(), "an upstream still works"
+
+    def check_send(self, start):
+        assert not self.answers and not self.left, "sent after its answer"
+        if not self.idempotent:
+            running = [s for s in self.now_sent.values() if not s.refused]
+            assert not running, "sent again though it may have run"
+        self.now_sent[start.exchange] = Sent(start.exchange)
+
+    def end(self, key):
+        if key in self.now_sent:
+            self.now_sent[key].ended = True
+
+    def check_answer(self, head):
+        self.answers.append(head.status)
+        outcome = find_header(head, b"comfreyusher-outcome")
+        promised = outcome == "not-run"
+        if not self.idempotent:
+            promised = promised or head.status in NOT_RUN_STATUSES
+        may_have_run = any(not sent.refused for sent in self.now_sent.values())
+        assert not (promised and may_have_run), f"{head.status} promises too much"
+
+
+OneRequestTests = OneRequest.TestCase
+OneRequestTests.settings = settings(
+    max_examples=300, stateful_step_count=25, deadline=None
+)
+
 if __name__ == "__main__":
     unittest.main()
