Take Request-Refused for a reason only, not for the statement itself

An upstream's response with this header counted as one that had not run, whatever its status was: a sealed 200 was dropped and a non-idempotent request sent to the next upstream, so that it ran twice. Only X-Not-Executed and 421 state that a request has not run; the header now tells a draining upstream from a busy one. Found by listing who may say "not run". Measured: test_a_reason_alone_is_no_refusal failed before (no response, a second send) and passes; 67 tests of the entry task pass.

--- a/comfreyusher/entry/_attempts.py
+++ b/comfreyusher/entry/_attempts.py
@@ -51,7 +51,7 @@
 MAX_ATTEMPTS_WITH_RETURNS = 8  # leaves some for other retries
 FAULT_STATUSES = frozenset((500, 502, 503, 504))
 TIMEOUT_STATUS = 504
-REFUSED_HEADER = b"request-refused"
+REFUSAL_REASON_HEADER = b"request-refused"
 DRAINING = "draining"
 
 
@@ -220,11 +220,9 @@
     """Return the verdict on a response, judged by its head and what that says."""
     if upstream_headers.misdirected:
         return Verdict.MISDIRECTED
-    refused = find_header(head, REFUSED_HEADER)
-    if refused == DRAINING:
-        return Verdict.DRAINING
-    if upstream_headers.not_run or refused:
-        return Verdict.SHED
+    if upstream_headers.not_run:
+        is_draining = find_header(head, REFUSAL_REASON_HEADER) == DRAINING
+        return Verdict.DRAINING if is_draining else Verdict.SHED
     if head.status == TIMEOUT_STATUS:
         return Verdict.LATE
     if head.status in FAULT_STATUSES:
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -141,6 +141,20 @@
         (response,) = self.pop_responses()
         self.assertEqual(response.head.status, 502)
 
+    # Guards against a response that is dropped, and its request run again, because of a
+    # header that only says why a request was refused.
+    def test_a_reason_alone_is_no_refusal(self):
+        for status in (200, 500):
+            with self.subTest(status):
+                self.setUp()
+                self.send_request(method="POST")
+                head = upstream_head(status, (b"Request-Refused", b"shed"))
+                self.deliver(ClientResponseStart(self.grant(), head, b"body", True))
+                (response,) = self.pop_responses()
+                self.assertEqual(
+                    (response.head.status, response.body), (status, b"body")
+                )
+
     def test_the_log_tells_what_the_upstream_answered(self):
         self.send_request(method="POST")
         head = upstream_head(429)
