--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,10 +2,10 @@
 
 Nodes are killed, frozen, terminated and cut off by a loopback proxy, one at a
 time; the store's stand-in is silent, resets, responds late, compacts its
-history and is restored from an older copy; upstreams stall, truncate responses, drain
-and leave. Meanwhile callers keep their connections open, and what they and the
-upstreams see is checked. Faults overlap; the seed fixes their order and duration, but
-not the timing of the processes.
+history and is restored from an older copy; upstreams stall, truncate responses,
+refuse requests that they have run, drain and leave. Meanwhile callers keep their
+connections open, and what they and the upstreams see is checked. Faults overlap; the
+seed fixes their order and duration, but not the timing of the processes.
 
 ``python -m tests.soak --first 1 --seeds 50 --length 40`` runs many seeds. The soak
 ends only processes that it started, by their ids.
@@ -48,8 +48,18 @@
     {"delay_ms": 400},
 )
 STORE_FAULTS_OFF = {"down": "", "delay_ms": 0}
-UPSTREAM_FAULTS = ({"stall": True}, {"half_answer": True}, {"slow_factor": 20.0})
-UPSTREAM_FAULTS_OFF = {"stall": False, "half_answer": False, "slow_factor": 1.0}
+UPSTREAM_FAULTS = (
+    {"stall": True},
+    {"half_answer": True},
+    {"slow_factor": 20.0},
+    *({"answer_status": status} for status in (408, 429, 503)),
+)
+UPSTREAM_FAULTS_OFF = {
+    "stall": False,
+    "half_answer": False,
+    "slow_factor": 1.0,
+    "answer_status": 200,
+}
 FAULT_DURATIONS_S = (0.3, 1.0, 3.0)
 
 
