List nodes that return from a cut at once

A node that was cut off from all others for 12 s was declared dead by its region, and learned of it only with one of its own pings, one a second. Its refutation then took several periods more to spread, so the reader of the region sent it neither watermarks nor changes meanwhile. In a simulation of 108 nodes in two regions with 35% cut off, half of the pairs of a node and a returned one were listed after 6.2 s, a tenth not after 12 s; a returned node counts as unharmed after 3 s.

Recently dead members are now told so: three a period, and each one that sends anything. A node that learns of its death sends its refutation to its whole region, once a period at most, and to those that it took for dead itself.

Ways weighed: pinging faster while pings fail (nodes that were cut off together still hear each other, so it does not show); a shorter period (costs every node for ever).

The cost is bounded by test_a_returning_node_costs_few_datagrams.

--- a/comfreyusher/membership/_protocol.py
+++ b/comfreyusher/membership/_protocol.py
@@ -4,6 +4,10 @@
 members for indirect pings, so that a one-way loss between two nodes does not get
 either of them declared dead. A member that no ping reached becomes suspect and,
 unless it refutes the suspicion in time, is declared dead.
+
+A member that was cut off or frozen does not know that it was declared dead. For a
+while it is told so: some dead members each period, and each one that sends anything.
+It refutes its death to its whole region at once.
 """
 
 import dataclasses
@@ -12,12 +16,15 @@
 from comfreyusher.membership._records import (
     disseminate_record,
     expire_members,
+    is_death,
+    is_newer_death,
     merge_record,
     suspect_member,
 )
 from comfreyusher.membership._state import (
     Probe,
     RelayedPing,
+    dead_members,
     other_members,
     region_members,
 )
@@ -31,6 +38,9 @@
 MEMBERS_PER_MESSAGE = 8
 MEMBERS_PER_PAGE = 16
 EARLY_JOIN_TICKS = 5
+# How many dead members a node contacts each period, and for how long after a death.
+DEAD_CONTACTS = 3
+DEAD_CONTACT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,8 +86,20 @@
 
 def handle_message(state, message, now, settings):
     """Handle one datagram of another node."""
+    is_new_death = any(is_newer_death(state.own, record) for record in message.members)
     for record in message.members:
         state = merge_record(state, record, now, settings)
+    step = _handle_kind(state, message, now, settings)
+    replies = _reply_to_death(step.state, message)
+    if not is_new_death:
+        return end_pipe(step.state, None, *step.messages, *replies)
+    announcement = _announce_own(step.state, now, settings)
+    messages = (*step.messages, *replies, *announcement.messages)
+    return end_pipe(announcement.state, None, *messages)
+
+
+def _handle_kind(state, message, now, settings):
+    """Handle what a datagram asks for, after its records were merged."""
     handlers = {
         GossipKind.PING: _handle_ping,
         GossipKind.ACK: _handle_ack,
@@ -90,6 +112,44 @@
     return handle(state, message, now, settings)
 
 
+def _reply_to_death(state, message):
+    """Refute that this node is dead, and let a sender refute it that counts as dead.
+
+    The refutation has a later version than the claim, so no reply follows it.
+    """
+    sender = state.members.get(_member_name(message.sender))
+    if sender is None or sender.node != message.sender:
+        return ()
+    records = ()
+    if any(is_death(state.own, record) for record in message.members):
+        records += (state.own,)
+    if sender.standing is MemberStanding.DEAD:
+        records += (sender,)
+    if not records:
+        return ()
+    return (_send_to(state, sender, GossipKind.PAGE, members=records),)
+
+
+def _announce_own(state, now, settings):
+    """Send the own record to the whole region, at most once a period.
+
+    After a cut, gossip alone would need several periods, in which no other node of
+    the region sends anything to this one. Members that this node took for dead
+    during the cut are among those that refute it.
+    """
+    if now - state.announced_s < settings.period_s:
+        return end_pipe(state, None)
+    sends = [
+        _send_to(state, record, GossipKind.PAGE, members=(state.own,))
+        for record in region_members(state)
+    ]
+    sends += [
+        _send_to(state, record, GossipKind.PAGE, members=(state.own, record))
+        for record in _find_recently_dead(state, now)
+    ]
+    return end_pipe(replace(state, announced_s=now), None, *sends)
+
+
 def advance_time(state, now, settings, shuffle):
     """Expire probes and suspicions, and start the next probe when it is due.
 
@@ -121,12 +181,12 @@
     state = expire_members(state, now, settings)
     probe = state.probe
     if probe is None:
-        return _start_probe(state, now, settings, shuffle)
+        return _start_period(state, now, settings, shuffle)
     age_s = now - probe.sent_s
     if age_s >= settings.period_s:
         state = suspect_member(state, probe.target, now, settings)
         state = replace(state, probe=None)
-        return _start_probe(state, now, settings, shuffle)
+        return _start_period(state, now, settings, shuffle)
     if age_s >= settings.ack_timeout_s and not probe.indirect and probe.target:
         return _request_indirect_probes(state, probe, settings, shuffle)
     return end_pipe(state, None)
@@ -141,8 +201,8 @@
         return end_pipe(state, None)
     step = _pick_updates(state, settings)
     updates = step.item
-    if sender.standing is not MemberStanding.ALIVE:
-        updates += (sender,)  # lets a suspect or dead member refute its record
+    if sender.standing is MemberStanding.SUSPECT:
+        updates += (sender,)  # lets the member refute the suspicion
     ack = _send_to(
         step.state, sender, GossipKind.ACK, message.sequence, message.target, updates
     )
@@ -201,6 +261,31 @@
 # Periods -------------------------------------------------------------------------
 
 
+def _start_period(state, now, settings, shuffle):
+    """Start a probe, and tell some dead members that they are taken for dead."""
+    step = _start_probe(state, now, settings, shuffle)
+    contacts = _contact_dead(step.state, now, shuffle)
+    return end_pipe(step.state, None, *step.messages, *contacts)
+
+
+def _contact_dead(state, now, shuffle):
+    """Return messages that let some recently dead members refute their death."""
+    recent = {record.name: record for record in _find_recently_dead(state, now)}
+    chosen = shuffle(tuple(recent))[:DEAD_CONTACTS]
+    return tuple(
+        _send_to(state, recent[name], GossipKind.PAGE, members=(recent[name],))
+        for name in chosen
+    )
+
+
+def _find_recently_dead(state, now):
+    return [
+        record
+        for record in dead_members(state)
+        if now - state.tombstones[record.name][1] <= DEAD_CONTACT_S
+    ]
+
+
 def _start_probe(state, now, settings, shuffle):
     if not state.probe_order:
         names = tuple(record.name for record in region_members(state))
--- a/comfreyusher/membership/_records.py
+++ b/comfreyusher/membership/_records.py
@@ -40,6 +40,16 @@
     return disseminate_record(replace(state, own=own), own, settings)
 
 
+def is_death(own, record):
+    """Tell whether a record declares this node dead."""
+    return record.node == own.node and record.standing is MemberStanding.DEAD
+
+
+def is_newer_death(own, record):
+    """Tell whether a record declares this node dead, and was not refuted before."""
+    return is_death(own, record) and _precedence(record) > _precedence(own)
+
+
 def _update_offset(state, known, record):
     if record.node != known.node:
         return state
--- a/comfreyusher/membership/_state.py
+++ b/comfreyusher/membership/_state.py
@@ -1,6 +1,7 @@
 """State of the membership protocol of one node."""
 
 import dataclasses
+import math
 
 import immutables
 
@@ -40,7 +41,8 @@
     record and the time of death. ``probe_order`` holds the names that the current
     round still has to ping. ``relayed_pings`` maps sequence numbers to pings sent
     for other nodes. ``early_ticks`` counts the first ticks after the start.
-    ``next_page`` is the page of members to send next.
+    ``next_page`` is the page of members to send next. ``announced_s`` is when this
+    node last sent its own record to its whole region.
     """
 
     own: MemberRecord
@@ -55,6 +57,7 @@
     periods: int = 0
     early_ticks: int = 0
     next_page: int = 0
+    announced_s: float = -math.inf
 
 
 def new_state(own):
@@ -85,3 +88,14 @@
     """Return the other members in the region of this node, sorted by name."""
     own_region = state.own.region
     return [record for record in other_members(state) if record.region == own_region]
+
+
+def dead_members(state):
+    """Return the dead members of the region of this node, sorted by name."""
+    return [
+        state.members[name]
+        for name in sorted(state.tombstones)
+        if name in state.members
+        and state.members[name].standing is MemberStanding.DEAD
+        and state.members[name].region == state.own.region
+    ]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -31,6 +31,8 @@
 
 SETTINGS = GossipSettings()
 STEP_S = 0.2
+# Before a returned node counts as unharmed (3 s), it needs 1 s to get what changed.
+RELISTED_S = 2.0
 
 
 def record(number, incarnation=1, region="r"):
@@ -45,12 +47,13 @@
     """Simulated nodes, and datagrams that can be dropped in one direction.
 
     ``cut_links`` holds pairs of sender and receiver; ``frozen`` nodes do not run.
-    ``remote_datagrams`` counts datagrams between regions.
+    ``datagrams`` counts all datagrams, ``remote_datagrams`` those between regions.
     """
 
     def __init__(self, count, seed=1, regions=1):
         self.now = 0.0
         self.random = random.Random(seed)
+        self.datagrams = 0
         self.remote_datagrams = 0
         self.states = {
             n: new_state(record(n, region=f"r{n % regions}"))
@@ -75,6 +78,7 @@
     def deliver(self):
         while self.queue:
             sender, target, message = self.queue.pop(0)
+            self.datagrams += 1
             self.remote_datagrams += self.is_remote(sender, target)
             unreachable = target not in self.states or target in self.frozen
             if unreachable or (sender, target) in self.cut_links:
@@ -90,6 +94,23 @@
         }
         return len(regions) > 1
 
+    def cut_off(self, share):
+        """Cut a share of the nodes off from all others; return their numbers."""
+        cut = set(
+            self.random.sample(sorted(self.states), int(len(self.states) * share))
+        )
+        for number in cut:
+            others = self.states.keys() - {number}
+            self.cut_links |= {(number, other) for other in others}
+            self.cut_links |= {(other, number) for other in others}
+        return cut
+
+    def find_unlisted(self, number):
+        """Return the nodes of its region that a node does not list as live."""
+        region = self.states[number].own.region
+        regional = {n for n, s in self.states.items() if s.own.region == region}
+        return regional - set(self.seen_by(number))
+
     def run(self, seconds):
         for _ in range(int(seconds / STEP_S)):
             self.now += STEP_S
@@ -188,6 +209,34 @@
         for number in (1, 2, 3, 5, 6):
             self.assertNotIn(4, network.seen_by(number))
 
+    # Guards against nodes that return from a cut and stay unlisted for seconds: no
+    # reader of the region sends them what changed meanwhile.
+    def test_nodes_that_return_from_a_cut_are_listed_at_once(self):
+        for share, seed in ((0.01, 1), (0.35, 2), (0.7, 3)):
+            with self.subTest(share=share):
+                network = Network(108, seed=seed, regions=2)
+                network.run(8)
+                cut = network.cut_off(share)
+                network.run(12)
+                network.cut_links = set()
+                network.run(RELISTED_S)
+                for number, state in network.states.items():
+                    missing = network.find_unlisted(number)
+                    self.assertEqual(missing & cut, set(), state.own.name)
+
+    # Guards against a storm: each death that is refuted is told to a whole region.
+    def test_a_returning_node_costs_few_datagrams(self):
+        network = Network(54)
+        network.run(8)
+        network.cut_off(0.35)
+        network.run(12)
+        network.cut_links = set()
+        network.datagrams = 0
+        network.run(5)
+        regular = 54 * 5 * 4
+        told_to_all = 54 * 54 * 2
+        self.assertLess(network.datagrams, regular + told_to_all)
+
     # Guards against a restarted node that its old tombstone keeps out of the fleet.
     def test_new_incarnation_replaces_the_dead_one(self):
         network = Network(4)
