Tell of a newer configuration within a round

Watermarks were those of the start of a round, so that a new version waited for the end of a round that carries many changes, up to a second. Only the upstreams keep the position of the start: later changes of them are in no page of the round.

--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -9,9 +9,11 @@
 import collections
 import dataclasses
 
-import immutables
-
-from comfreyusher.feeds._state import add_removal_delays, keep_last_entries
+from comfreyusher.feeds._state import (
+    Position,
+    add_removal_delays,
+    keep_last_entries,
+)
 from comfreyusher.feeds._watermarks import (
     PendingDelta,
     age_ms,
@@ -37,12 +39,13 @@
 class Round:
     """What every node of the region gets once.
 
-    ``pages`` are those of deltas, ``positions`` how far each topic was read when the
-    round began. The store responded to this reader last at ``last_read_s``.
+    ``pages`` are those of deltas, ``position`` is how far the upstreams were read when
+    the round began: later changes of them are in no page of this round. The store
+    responded to this reader last at ``last_read_s``.
     """
 
     pages: tuple
-    positions: immutables.Map
+    position: Position
     last_read_s: float
 
 
@@ -92,9 +95,8 @@
             return
         self.sent_s = now
         self.waiting_nodes = self._order_nodes()
-        positions = {topic: state.position for topic, state in self.topics.items()}
-        pages = self._take_pages()
-        self.round = Round(pages, immutables.Map(positions), last_read_s)
+        position = self.topics[Topic.UPSTREAMS].position
+        self.round = Round(self._take_pages(), position, last_read_s)
         self._send_slice()
 
     def _take_pages(self):
@@ -147,13 +149,18 @@
             self.send(last_read_s, self.clock())
 
     def _build_watermarks(self):
-        """Return the watermarks of the round, with their ages by now."""
-        now, positions = self.clock(), self.round.positions
+        """Return the watermarks of the round, with their ages by now.
+
+        A newer configuration does not wait for the next round.
+        """
+        now, position = self.clock(), self.round.position
+        positions = {topic: state.position for topic, state in self.topics.items()}
+        positions[Topic.UPSTREAMS] = position
         return FeedWatermarks(
             self.own.node,
             build_watermarks(positions, now),
             age_ms(self.round.last_read_s, now),
-            positions[Topic.UPSTREAMS].era,
+            position.era,
             self.view.configuration_version,
         )
 
