Bound a round of watermarks by slices, whatever the size of the region

At the size of CAPACITY a region has 1,200 nodes, whose watermarks would have taken 2.5 s in slices of 24 datagrams: longer than nodes wait for news. Slices grow so that a round without deltas takes five at most. Regions of up to 120 nodes are served as before this change.

--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -28,11 +28,13 @@
 
 TICK_NAME = "publisher"
 # 24 datagrams of less than 1,400 bytes in 50 ms are at most 5.4 Mbit/s.
-SLICE_DATAGRAMS = 24
+MIN_SLICE_DATAGRAMS = 24
 SLICE_PERIOD_S = 0.05
+# Slices of a round of watermarks alone, which must be over before the next one is due.
+MAX_WATERMARK_SLICES = 5
 # A longer round would delay the watermarks by over a second. Without the deltas, nodes
 # read the store themselves.
-MAX_ROUND_DATAGRAMS = 480
+MAX_SLICES = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,9 +109,14 @@
         self.pending_deltas = [
             record_send(delta) for delta in self.pending_deltas if delta.sends_left > 1
         ]
-        if len(self.waiting_nodes) * (len(pages) + 1) > MAX_ROUND_DATAGRAMS:
-            return ()
-        return tuple(pages)
+        datagrams = len(self.waiting_nodes) * (len(pages) + 1)
+        return tuple(pages) if datagrams <= MAX_SLICES * self.slice_datagrams else ()
+
+    @property
+    def slice_datagrams(self):
+        """Number of datagrams in a slice, more than usual in a very large region."""
+        node_count = len(self.exchange.nodes)
+        return max(MIN_SLICE_DATAGRAMS, -(-node_count // MAX_WATERMARK_SLICES))
 
     def _order_nodes(self):
         """Return the other nodes, beginning behind the one that was served last."""
@@ -136,7 +143,7 @@
         if not self.waiting_nodes:
             return
         messages = (*self.round.pages, self._build_watermarks())
-        count = max(1, SLICE_DATAGRAMS // len(messages))
+        count = max(1, self.slice_datagrams // len(messages))
         for _ in range(min(count, len(self.waiting_nodes))):
             self.last_node = self.waiting_nodes.popleft()
             for body in messages:
--- a/tests/test_pattern_many_changes.py
+++ b/tests/test_pattern_many_changes.py
@@ -7,7 +7,8 @@
 
 import unittest
 
-from comfreyusher.feeds import FeedTimings
+from comfreyusher.feeds import FeedTimings, RegionChanged
+from comfreyusher.flow import Tick
 from tests.region import Region
 
 REGION_MBPS = 60.0
@@ -18,6 +19,27 @@
 UPSTREAMS = tuple(f"i-{number:010x}" for number in range(120))
 
 
+class LargeRegionTests(unittest.TestCase):
+    # Guards against rounds at the size of CAPACITY that last longer than nodes wait for
+    # news.
+    def test_a_round_reaches_a_very_large_region_in_time(self):
+        region = Region(1, REGION_MBPS, 100.0, DRAIN_S)
+        (task,) = region.tasks.values()
+        nodes = tuple(f"vm-{number}.1" for number in range(1200))
+        task.handle_region_changed(RegionChanged(nodes, nodes[:600]))
+        told, ticks = [], []
+        task.send_message = lambda channel, body: (
+            told.append(body.node) if channel == "datagrams" else ticks.append(body)
+        )
+        task.publisher.send(0.0, 0.0)
+        while ticks:
+            subscription = ticks.pop()
+            region.now += subscription.period_s
+            task.message_handlers[Tick](Tick(subscription.name, region.now))
+        self.assertEqual(set(told), set(nodes) - {task.own.node})
+        self.assertLess(region.now, TIMINGS.upstreams_period_s)
+
+
 class ManyChangesTests(unittest.TestCase):
     def region(self, nodes=58, node_mbps=5.0):
         region = Region(nodes, REGION_MBPS, node_mbps, DRAIN_S)
