--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -45,6 +45,22 @@
 REFUSALS = "tests.test_entry_refusals"
 ERA_FEEDS = "tests.test_store_era_feeds"
 MUTATIONS = (
+    Mutation(
+        "a reader tells its region everything in one burst",
+        "feeds",
+        "comfreyusher/feeds/_publisher.py",
+        "        count = max(1, self.slice_datagrams // len(messages))",
+        "        count = len(self.waiting_nodes)",
+        "tests.test_pattern_many_changes",
+    ),
+    Mutation(
+        "a returning node refutes its death by gossip alone",
+        "membership",
+        "comfreyusher/membership/_protocol.py",
+        "    if not is_new_death:",
+        "    if True:",
+        "tests.test_membership",
+    ),
     Mutation(
         "an upstream's refusal that states nothing is handed on",
         "not run",
