Do not take a node's own cut for an outage of the store

A node that hears nothing of the store for 2.5 s holds removals back for 2.2 s after that, since entries that lapse in an outage come back. A node that was cut off from the store and from all others did so as well, though the others had known the store all the while: it went on using upstreams that had left during its cut, past the 3 s after which it counts as unharmed.

Watermarks now tell for how long their sender has known of no outage, unless it sees one now. A node that hears an earlier time than that of its own return corrects it, and applies the removals that it holds back.

A sender that was suspended throughout a real outage could make others drop lapsed entries 2.2 s early; they come back within those seconds.

--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -15,6 +15,7 @@
     keep_last_entries,
 )
 from comfreyusher.feeds._watermarks import (
+    MAX_AGE_S,
     PendingDelta,
     age_ms,
     build_watermarks,
@@ -59,12 +60,15 @@
     another round waits for the end of this one.
     """
 
-    def __init__(self, channel, own, topics, view, exchange, clock, send_message):
+    def __init__(
+        self, channel, own, topics, view, exchange, outage, clock, send_message
+    ):
         self.channel = channel
         self.own = own
         self.topics = topics
         self.view = view
         self.exchange = exchange
+        self.outage = outage
         self.clock = clock
         self.send_message = send_message
         self.pending_deltas = []
@@ -169,6 +173,7 @@
             age_ms(self.round.last_read_s, now),
             position.era,
             self.view.configuration_version,
+            int(min(MAX_AGE_S, self.outage.available_s(now)) * 1000),
         )
 
     def stop(self):
--- a/comfreyusher/feeds/_state.py
+++ b/comfreyusher/feeds/_state.py
@@ -190,6 +190,15 @@
     return _apply_entries(registry, due, lambda entry: NEVER_S)
 
 
+def advance_removals(registry, due_s):
+    """Return the registry whose pending removals take effect by a time."""
+    removals = {
+        name: replace(removal, due_s=min(due_s, removal.due_s))
+        for name, removal in registry.pending_removals.items()
+    }
+    return replace(registry, pending_removals=immutables.Map(removals))
+
+
 def _missing_removals(registry, names):
     return tuple(
         RegisteredUpstream(name, removed=True)
--- a/comfreyusher/messages/_feeds.py
+++ b/comfreyusher/messages/_feeds.py
@@ -52,7 +52,8 @@
     itself; the ages in ``topics`` may come from other readers.
     ``configuration_version`` is that of the configuration in force on the sender. A
     node that has a newer one than a reader sends the reader this message without
-    ``topics``.
+    ``topics``. ``available_ms`` is for how long the sender has known of no outage of
+    the store, 0 if it does not say.
     """
 
     node: str
@@ -60,6 +61,7 @@
     read_age_ms: int = 0
     era: int = 0
     configuration_version: int = -1
+    available_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/faulty_region.py
+++ b/tests/faulty_region.py
@@ -446,10 +446,7 @@
     rng = random.Random(seed)
     region = region_class(nodes, upstreams, rng)
     region.publish(1)
-    for name in region.states:
-        region.send_heartbeat(name)
-        first_s = rng.uniform(0, HEARTBEAT_S)
-        region.every(first_s, HEARTBEAT_S, lambda n=name: region.send_heartbeat(n))
+    draw_heartbeats(region, rng)
     for vm in region.vms:
         region.at(rng.uniform(0, 0.3), lambda v=vm: region.start_node(v))
     region.faults = draw_faults(rng, region.vms, kinds)
@@ -462,6 +459,14 @@
     return region
 
 
+def draw_heartbeats(region, rng):
+    """Let each upstream write its entry now, and periodically from a random time on."""
+    for name in region.states:
+        region.send_heartbeat(name)
+        first_s = rng.uniform(0, HEARTBEAT_S)
+        region.every(first_s, HEARTBEAT_S, lambda n=name: region.send_heartbeat(n))
+
+
 def _draw_changes(region, rng):
     """Draw the changes that the operator and the upstreams make."""
     at_s, version = START_UP_S, 1
--- a/tests/test_pattern_faulty_region.py
+++ b/tests/test_pattern_faulty_region.py
@@ -6,12 +6,13 @@
 seeds by hand: ``python -m tests.faulty_region --seeds 500``.
 """
 
+import random
 import unittest
 
 from absl import logging
 
-from tests.faults import ALL_FAULT_KINDS, FAULT_KINDS
-from tests.faulty_region import simulate
+from tests.faults import ALL_FAULT_KINDS, FAULT_KINDS, Fault
+from tests.faulty_region import FaultyRegion, draw_heartbeats, simulate
 
 MORE_SEEDS = range(1000, 1012)
 DELAYED_REMOVAL_SEEDS = (0, 3, 16, 305, 342, 380)
@@ -63,5 +64,67 @@
         self.check(MORE_SEEDS)
 
 
+class ReturnTests(unittest.TestCase):
+    """Nodes that were cut off from the store and from all others."""
+
+    CUT_S = (12.0, 24.0)
+    LEFT_S = 16.0
+    # A node counts as unharmed for this long after the end of its cut.
+    STABLE_WINDOW_S = 3.0
+
+    def setUp(self):
+        before = logging.get_verbosity()
+        logging.set_verbosity(logging.ERROR)
+        self.addCleanup(logging.set_verbosity, before)
+
+    def run_cut(self, seed, store_kind=None):
+        """Return a region of 58 nodes after a third of them was cut off.
+
+        Meanwhile an upstream has left without saying so before.
+        """
+        rng = random.Random(seed)
+        region = FaultyRegion(58, 12, rng)
+        region.publish(1)
+        draw_heartbeats(region, rng)
+        for vm in region.vms:
+            region.at(rng.uniform(0, 0.3), lambda v=vm: region.start_node(v))
+        self.cut = frozenset(rng.sample(region.vms, 20))
+        for kind in ("cut_store", "cut_nodes"):
+            region.faults.append(Fault(kind, *self.CUT_S, self.cut))
+        if store_kind is not None:
+            region.faults.append(Fault(store_kind, *self.CUT_S))
+        for fault in region.faults:
+            region.at(fault.begin_s, lambda f=fault: region.begin_fault(f))
+        return region
+
+    def find_users(self, region, upstream):
+        """Return the nodes that would still send requests to an upstream."""
+        return [
+            node
+            for node, task in region.tasks.items()
+            if upstream in task.view.registry.upstreams
+        ]
+
+    # Guards against nodes that take their own cut for an outage of the store, and hold
+    # the removal of an upstream back after their return.
+    def test_returned_nodes_drop_upstreams_that_left_during_the_cut(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                region = self.run_cut(seed)
+                region.at(self.LEFT_S, lambda r=region: r.stop_upstream("up-0", True))
+                region.run_until(self.CUT_S[1] + self.STABLE_WINDOW_S)
+                self.assertEqual(self.find_users(region, "up-0"), [])
+
+    # Guards against nodes that drop upstreams at once after an outage of the store for
+    # all, in which entries lapse that come back.
+    def test_nodes_hold_removals_back_after_an_outage_for_all(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                region = self.run_cut(seed, "store_silent")
+                region.at(self.LEFT_S, lambda r=region: r.stop_upstream("up-0", True))
+                region.run_until(self.CUT_S[1] + 1.5)
+                self.assertEqual(len(self.find_users(region, "up-0")), 58)
+
+
 if __name__ == "__main__":
     unittest.main()
