--- a/comfreyusher/entry/_arrival.py
+++ b/comfreyusher/entry/_arrival.py
@@ -1,5 +1,7 @@
 """The pipe of a new request, up to the grant request to the owner of a group."""
 
+import uuid6
+
 from comfreyusher.accounts import AccountEntry, RequestAccepted
 from comfreyusher.entry._body import waits_for_whole_body
 from comfreyusher.entry._client_accounts import identify_client_account
@@ -10,6 +12,7 @@
 )
 from comfreyusher.entry._grant_requests import begin_attempt
 from comfreyusher.entry._responses import send_error
+from comfreyusher.entry._state import ActiveRequest
 from comfreyusher.entry._tokens import require_token
 from comfreyusher.flow import Envelope, continue_pipe, end_pipe, pipe, replace
 from comfreyusher.messages import Outcome, find_header
@@ -21,6 +24,7 @@
     has_client_accounts,
     has_routes,
 )
+from comfreyusher.telemetry import derive_context, parse_context, start_context
 
 DEADLINE_HEADER = b"request-deadline-ms"
 AUTHORIZATION = b"authorization"
@@ -30,6 +34,33 @@
 NO_PROFILE_RETRY_AFTER_MS = 5000
 
 
+def build_request(state, start, now_s, now_ms):
+    """Return the ``ActiveRequest`` of a request that arrives now.
+
+    ``now_s`` is monotonic, ``now_ms`` of the wall clock.
+    """
+    parent = None
+    for name, value in start.head.headers:
+        if name.lower() == b"traceparent":
+            parent = parse_context(value.decode("latin-1"))
+    if parent is None:
+        context = start_context(state.sampling_ratio)
+    else:
+        context = derive_context(parent, f"{state.node}/{start.exchange}")
+    return ActiveRequest(
+        start.exchange,
+        start if start.ended else replace(start, body=b""),
+        parse_caller_headers(start.head).request_id or uuid6.uuid7().hex,
+        context,
+        now_s,
+        now_ms,
+        parent,
+        body_parts=(start.body,) if start.body else (),
+        buffered_bytes=len(start.body),
+        body_ended=start.ended,
+    )
+
+
 def require_configuration(state, request):
     """Reject the request if the node has no configuration yet."""
     if not state.ready or not has_routes(state.table):
--- a/comfreyusher/entry/_task.py
+++ b/comfreyusher/entry/_task.py
@@ -2,10 +2,8 @@
 
 import time
 
-import uuid6
-
 from comfreyusher.accounts import ReplicationFinished
-from comfreyusher.entry._arrival import ARRIVAL_PIPE
+from comfreyusher.entry._arrival import ARRIVAL_PIPE, build_request
 from comfreyusher.entry._attempt_ends import cancel_all
 from comfreyusher.entry._attempts import (
     handle_denial,
@@ -35,7 +33,6 @@
     record_owner_message,
 )
 from comfreyusher.entry._report_sender import ReportSender
-from comfreyusher.entry._state import ActiveRequest
 from comfreyusher.entry._timeouts import (
     end_for_shutdown,
     end_overdue,
@@ -76,10 +73,8 @@
     ResponseCredit,
     Verdict,
 )
-from comfreyusher.platform import parse_caller_headers
 from comfreyusher.quarantine import QuarantinesChanged
 from comfreyusher.quota import TokenDecision, TokenReturned
-from comfreyusher.telemetry import derive_context, parse_context, start_context
 
 CHANNEL = "entry"
 PART = "entry"
@@ -222,7 +217,8 @@
 
     def handle_request_start(self, start):
         """Run the arrival pipe for a request."""
-        request = self._new_request(start)
+        arrived_ms = int(self.wall_clock() * 1000)
+        request = build_request(self.state, start, self.clock(), arrived_ms)
         self.requests[request.exchange] = request
         self._start_ticking()
         for envelope in credit_caller(request, len(start.body)):
@@ -252,28 +248,6 @@
             if request is not None:
                 self.run(ARRIVAL_PIPE, request)
 
-    def _new_request(self, start):
-        parent = None
-        for name, value in start.head.headers:
-            if name.lower() == b"traceparent":
-                parent = parse_context(value.decode("latin-1"))
-        if parent is None:
-            context = start_context(self.state.sampling_ratio)
-        else:
-            context = derive_context(parent, f"{self.state.node}/{start.exchange}")
-        return ActiveRequest(
-            start.exchange,
-            start if start.ended else replace(start, body=b""),
-            parse_caller_headers(start.head).request_id or uuid6.uuid7().hex,
-            context,
-            self.clock(),
-            int(self.wall_clock() * 1000),
-            parent,
-            body_parts=(start.body,) if start.body else (),
-            buffered_bytes=len(start.body),
-            body_ended=start.ended,
-        )
-
     def handle_caller_disconnected(self, disconnected):
         """Cancel all attempts of a caller that disconnected."""
         request = self.requests.get(disconnected.exchange)
--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -60,17 +60,15 @@
     another round waits for the end of this one.
     """
 
-    def __init__(
-        self, channel, own, topics, view, exchange, outage, clock, send_message
-    ):
+    def __init__(self, channel, exchange, outage):
         self.channel = channel
-        self.own = own
-        self.topics = topics
-        self.view = view
         self.exchange = exchange
         self.outage = outage
-        self.clock = clock
-        self.send_message = send_message
+        self.own = exchange.own
+        self.topics = exchange.topics
+        self.view = exchange.view
+        self.clock = exchange.clock
+        self.send_message = exchange.send_message
         self.pending_deltas = []
         self.sent_s = 0.0
         self.round = None
--- a/comfreyusher/feeds/_received.py
+++ b/comfreyusher/feeds/_received.py
@@ -1,25 +1,33 @@
-"""Data that other nodes of the region send: deltas and snapshots."""
+"""Data that other nodes of the region send: watermarks, deltas and snapshots."""
 
 import math
 import random
 
 from comfreyusher.events import log_info
+from comfreyusher.feeds._catch_up import FOLLOWED_TOPICS
 from comfreyusher.feeds._exchange import REQUEST_RETRY_S, REQUIRED_TOPICS
 from comfreyusher.feeds._messages import UpstreamsChanged
-from comfreyusher.feeds._state import Position, apply_delta, apply_snapshot
+from comfreyusher.feeds._state import (
+    Position,
+    advance_removals,
+    apply_delta,
+    apply_due_removals,
+    apply_snapshot,
+)
 from comfreyusher.feeds._view import PART
 from comfreyusher.flow import replace
 from comfreyusher.messages import FeedWatermarks, ToNode
 from comfreyusher.platform import NewestRead, Topic
 
 PEER = "peer"
+TOPIC_BY_NAME = {topic.value: topic for topic in FOLLOWED_TOPICS}
 # How many nodes tell a reader that they have a newer configuration.
 VERSION_NOTICES = 3
 NEVER_READ_MS = 3_600_000
 
 
 class RegionData:
-    """Applies deltas and snapshots to this node's topics and view."""
+    """Applies what other nodes send to this node's topics and view."""
 
     def __init__(self, topics, view, exchange, catch_up, outage, send_message):
         self.topics = topics
@@ -31,6 +39,25 @@
         self.clock = exchange.clock
         self.random = random.Random(exchange.own.node)
 
+    def apply_watermarks(self, message, now):
+        """Apply the watermarks of a reader, and what it knows of outages."""
+        for watermark in message.topics:
+            topic = TOPIC_BY_NAME.get(watermark.topic)
+            if topic is None:
+                continue  # a node of a later version knows more topics
+            self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
+            if topic is Topic.UPSTREAMS:
+                self.outage.confirm(now - watermark.age_ms / 1000)
+        if message.available_ms:
+            self._revise_outage(now - message.available_ms / 1000, now, message.node)
+
+    def _revise_outage(self, available_since_s, now, source):
+        """Apply removals at once that were held back for an outage that was none."""
+        if self.outage.revise(available_since_s):
+            due_s = max(now, self.outage.removal_due_s(now))
+            registry = advance_removals(self.view.registry, due_s)
+            self.view.update_registry(apply_due_removals(registry, now), source)
+
     def apply_delta(self, delta):
         """Apply changes of upstreams that a reader has read."""
         state = self.topics[Topic.UPSTREAMS]
--- a/comfreyusher/feeds/_task.py
+++ b/comfreyusher/feeds/_task.py
@@ -13,11 +13,7 @@
 from comfreyusher.feeds._reader import backoff_s, rank_readers
 from comfreyusher.feeds._received import RegionData
 from comfreyusher.feeds._relay import first_read_delay_s
-from comfreyusher.feeds._state import (
-    NEVER_S,
-    advance_removals,
-    apply_due_removals,
-)
+from comfreyusher.feeds._state import NEVER_S, apply_due_removals
 from comfreyusher.feeds._topic import TopicState
 from comfreyusher.feeds._view import PART, FeedView
 from comfreyusher.flow import Subscribe, Task, Tick, replace
@@ -41,7 +37,6 @@
 TICK_PERIOD_S = 0.25
 OWN_TOPIC_WAIT_S = 10.0
 STORE = "store"
-TOPIC_BY_NAME = {topic.value: topic for topic in FOLLOWED_TOPICS}
 
 
 class FeedTask(Task):
@@ -64,16 +59,7 @@
             own, self.topics, self.view, self.clock, self._forward_message
         )
         self.outage = Outage(self.clock())
-        self.publisher = RegionPublisher(
-            CHANNEL,
-            own,
-            self.topics,
-            self.view,
-            self.exchange,
-            self.outage,
-            self.clock,
-            self._forward_message,
-        )
+        self.publisher = RegionPublisher(CHANNEL, self.exchange, self.outage)
         self.catch_up = CatchUp(timings, self.view, self.exchange, self.random)
         self.last_read_s = NEVER_S
         self.region_data = RegionData(
@@ -329,15 +315,7 @@
             return
         now = self.clock()
         rank = self._rank_of(message.node)
-        for watermark in message.topics:
-            topic = TOPIC_BY_NAME.get(watermark.topic)
-            if topic is None:
-                continue  # a node of a later version knows more topics
-            self.catch_up.apply(topic, self.topics[topic], watermark, message.node, now)
-            if topic is Topic.UPSTREAMS:
-                self.outage.confirm(now - watermark.age_ms / 1000)
-        if message.available_ms:
-            self._revise_outage(now - message.available_ms / 1000, now)
+        self.region_data.apply_watermarks(message, now)
         self.view.report_configuration(self.topics[Topic.CONFIGURATION].behind)
         if self.is_reader and rank < self.rank:
             if message.read_age_ms / 1000 < self.timings.max_staleness_s(rank):
@@ -347,13 +325,6 @@
         if self.era:
             self.region_data.compare_versions(message)
 
-    def _revise_outage(self, available_since_s, now):
-        """Apply removals at once that were held back for an outage that was none."""
-        if self.outage.revise(available_since_s):
-            due_s = self.outage.removal_due_s(now)
-            registry = advance_removals(self.view.registry, max(due_s, now))
-            self.view.update_registry(apply_due_removals(registry, now), STORE)
-
     def handle_upstream_delta(self, delta):
         """Apply changes of upstreams that a reader has read."""
         if self._is_current(delta.era):
--- a/comfreyusher/membership/_protocol.py
+++ b/comfreyusher/membership/_protocol.py
@@ -4,43 +4,33 @@
 members for indirect pings, so that a one-way loss between two nodes does not get
 either of them declared dead. A member that no ping reached becomes suspect and,
 unless it refutes the suspicion in time, is declared dead.
-
-A member that was cut off or frozen does not know that it was declared dead. For a
-while it is told so: some dead members each period, and each one that sends anything.
-It refutes its death to its whole region at once.
 """
 
 import dataclasses
 
-from comfreyusher.flow import Step, end_pipe, replace
+from comfreyusher.flow import end_pipe, replace
+from comfreyusher.membership._deaths import announce_own, contact_dead, reply_to_death
 from comfreyusher.membership._records import (
     disseminate_record,
     expire_members,
-    is_death,
     is_newer_death,
     merge_record,
     suspect_member,
 )
+from comfreyusher.membership._sending import member_name, pick_updates, send, send_to
 from comfreyusher.membership._state import (
     Probe,
     RelayedPing,
-    dead_members,
     other_members,
     region_members,
 )
 from comfreyusher.messages import (
     GossipKind,
-    GossipMessage,
     MemberStanding,
-    ToHostPort,
 )
 
-MEMBERS_PER_MESSAGE = 8
 MEMBERS_PER_PAGE = 16
 EARLY_JOIN_TICKS = 5
-# How many dead members a node contacts each period, and for how long after a death.
-DEAD_CONTACTS = 3
-DEAD_CONTACT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +55,7 @@
 def join(state, addresses):
     """Ask the nodes at these ``(host, port)`` addresses for all members."""
     sends = tuple(
-        _send(state, host, port, GossipKind.JOIN, members=(state.own,))
+        send(state, host, port, GossipKind.JOIN, members=(state.own,))
         for host, port in addresses
     )
     return end_pipe(state, None, *sends)
@@ -78,7 +68,7 @@
     )
     state = disseminate_record(replace(state, own=own), own, settings)
     sends = tuple(
-        _send_to(state, record, GossipKind.PAGE, members=(own,))
+        send_to(state, record, GossipKind.PAGE, members=(own,))
         for record in other_members(state)
     )
     return end_pipe(state, None, *sends)
@@ -90,10 +80,10 @@
     for record in message.members:
         state = merge_record(state, record, now, settings)
     step = _handle_kind(state, message, now, settings)
-    replies = _reply_to_death(step.state, message)
+    replies = reply_to_death(step.state, message)
     if not is_new_death:
         return end_pipe(step.state, None, *step.messages, *replies)
-    announcement = _announce_own(step.state, now, settings)
+    announcement = announce_own(step.state, now, settings)
     messages = (*step.messages, *replies, *announcement.messages)
     return end_pipe(announcement.state, None, *messages)
 
@@ -112,44 +102,6 @@
     return handle(state, message, now, settings)
 
 
-def _reply_to_death(state, message):
-    """Refute that this node is dead, and let a sender refute it that counts as dead.
-
-    The refutation has a later version than the claim, so no reply follows it.
-    """
-    sender = state.members.get(_member_name(message.sender))
-    if sender is None or sender.node != message.sender:
-        return ()
-    records = ()
-    if any(is_death(state.own, record) for record in message.members):
-        records += (state.own,)
-    if sender.standing is MemberStanding.DEAD:
-        records += (sender,)
-    if not records:
-        return ()
-    return (_send_to(state, sender, GossipKind.PAGE, members=records),)
-
-
-def _announce_own(state, now, settings):
-    """Send the own record to the whole region, at most once a period.
-
-    After a cut, gossip alone would need several periods, in which no other node of
-    the region sends anything to this one. Members that this node took for dead
-    during the cut are among those that refute it.
-    """
-    if now - state.announced_s < settings.period_s:
-        return end_pipe(state, None)
-    sends = [
-        _send_to(state, record, GossipKind.PAGE, members=(state.own,))
-        for record in region_members(state)
-    ]
-    sends += [
-        _send_to(state, record, GossipKind.PAGE, members=(state.own, record))
-        for record in _find_recently_dead(state, now)
-    ]
-    return end_pipe(replace(state, announced_s=now), None, *sends)
-
-
 def advance_time(state, now, settings, shuffle):
     """Expire probes and suspicions, and start the next probe when it is due.
 
@@ -173,7 +125,7 @@
     if not names:
         return end_pipe(state, None)
     target = state.members[shuffle(names)[0]]
-    request = _send_to(state, target, GossipKind.JOIN, members=(state.own,))
+    request = send_to(state, target, GossipKind.JOIN, members=(state.own,))
     return end_pipe(state, None, request)
 
 
@@ -196,14 +148,14 @@
 
 
 def _handle_ping(state, message, now, settings):
-    sender = state.members.get(_member_name(message.sender))
+    sender = state.members.get(member_name(message.sender))
     if sender is None:
         return end_pipe(state, None)
-    step = _pick_updates(state, settings)
+    step = pick_updates(state, settings)
     updates = step.item
     if sender.standing is MemberStanding.SUSPECT:
         updates += (sender,)  # lets the member refute the suspicion
-    ack = _send_to(
+    ack = send_to(
         step.state, sender, GossipKind.ACK, message.sequence, message.target, updates
     )
     return end_pipe(step.state, None, ack)
@@ -218,10 +170,10 @@
     if relayed is None:
         return end_pipe(state, None)
     state = replace(state, relayed_pings=state.relayed_pings.delete(message.sequence))
-    requester = state.members.get(_member_name(relayed.requester))
+    requester = state.members.get(member_name(relayed.requester))
     if requester is None:
         return end_pipe(state, None)
-    ack = _send_to(state, requester, GossipKind.ACK, relayed.requester_sequence)
+    ack = send_to(state, requester, GossipKind.ACK, relayed.requester_sequence)
     return end_pipe(state, None, ack)
 
 
@@ -236,18 +188,18 @@
         sequence=sequence,
         relayed_pings=state.relayed_pings.set(sequence, relayed),
     )
-    ping = _send_to(state, target, GossipKind.PING, sequence)
+    ping = send_to(state, target, GossipKind.PING, sequence)
     return end_pipe(state, None, ping)
 
 
 def _handle_join(state, message, now, settings):
     """Send all members to a joining node, one page per datagram."""
-    sender = state.members.get(_member_name(message.sender))
+    sender = state.members.get(member_name(message.sender))
     if sender is None:
         return end_pipe(state, None)
     records = sorted(state.members.values(), key=lambda record: record.name)
     pages = tuple(
-        _send_to(
+        send_to(
             state,
             sender,
             GossipKind.PAGE,
@@ -264,28 +216,10 @@
 def _start_period(state, now, settings, shuffle):
     """Start a probe, and tell some dead members that they are taken for dead."""
     step = _start_probe(state, now, settings, shuffle)
-    contacts = _contact_dead(step.state, now, shuffle)
+    contacts = contact_dead(step.state, now, shuffle)
     return end_pipe(step.state, None, *step.messages, *contacts)
 
 
-def _contact_dead(state, now, shuffle):
-    """Return messages that let some recently dead members refute their death."""
-    recent = {record.name: record for record in _find_recently_dead(state, now)}
-    chosen = shuffle(tuple(recent))[:DEAD_CONTACTS]
-    return tuple(
-        _send_to(state, recent[name], GossipKind.PAGE, members=(recent[name],))
-        for name in chosen
-    )
-
-
-def _find_recently_dead(state, now):
-    return [
-        record
-        for record in dead_members(state)
-        if now - state.tombstones[record.name][1] <= DEAD_CONTACT_S
-    ]
-
-
 def _start_probe(state, now, settings, shuffle):
     if not state.probe_order:
         names = tuple(record.name for record in region_members(state))
@@ -305,8 +239,8 @@
     target = state.members.get(name)
     if target is None:
         return end_pipe(replace(state, probe=None), None)
-    step = _pick_updates(state, settings)
-    ping = _send_to(step.state, target, GossipKind.PING, sequence, "", step.item)
+    step = pick_updates(state, settings)
+    ping = send_to(step.state, target, GossipKind.PING, sequence, "", step.item)
     page = _sync_member(step.state, target, settings)
     remote = _sync_remote_region(page.state, settings, shuffle)
     return end_pipe(remote.state, None, ping, *page.messages, *remote.messages)
@@ -354,7 +288,7 @@
     page_number = state.next_page + 1
     next_page = page_number if page_number * MEMBERS_PER_PAGE < len(records) else 0
     state = replace(state, next_page=next_page)
-    send = _send_to(state, target, GossipKind.PAGE, members=page)
+    send = send_to(state, target, GossipKind.PAGE, members=page)
     return end_pipe(state, None, send)
 
 
@@ -364,7 +298,7 @@
     )
     helpers = shuffle(names)[: settings.indirect_probes]
     sends = tuple(
-        _send_to(
+        send_to(
             state,
             state.members[name],
             GossipKind.PING_REQUEST,
@@ -375,41 +309,3 @@
     )
     indirect = replace(probe, indirect=True)
     return end_pipe(replace(state, probe=indirect), None, *sends)
-
-
-# Sending -------------------------------------------------------------------------
-
-
-def _pick_updates(state, settings):
-    """Pick the records with the most remaining sends, and count one send of each."""
-    chosen = sorted(state.remaining_sends.items(), key=lambda item: -item[1])
-    records = ()
-    remaining_sends = state.remaining_sends
-    for name, left in chosen[:MEMBERS_PER_MESSAGE]:
-        records += (state.members[name],) if name in state.members else ()
-        remaining_sends = (
-            remaining_sends.set(name, left - 1)
-            if left > 1
-            else remaining_sends.delete(name)
-        )
-    return Step(replace(state, remaining_sends=remaining_sends), records)
-
-
-def _send_to(state, record, kind, sequence=0, target="", members=()):
-    return _send(
-        state, record.host, record.gossip_port, kind, sequence, target, members
-    )
-
-
-def _send(state, host, port, kind, sequence=0, target="", members=()):
-    own = state.own
-    if own not in members and kind is not GossipKind.PAGE:
-        members = (own, *members)
-    message = GossipMessage(
-        own.node, kind, sequence, target, members, own.offset, own.era
-    )
-    return ToHostPort(host, port, message)
-
-
-def _member_name(node):
-    return node.rpartition(".")[0]
--- a/extras/mutants.py
+++ b/extras/mutants.py
@@ -435,9 +435,9 @@
     Mutation(
         "a frozen member never returns",
         "membership",
-        "comfreyusher/membership/_protocol.py",
-        "    if sender.standing is not MemberStanding.ALIVE:",
-        "    if False:",
+        "comfreyusher/membership/_records.py",
+        "    version = max(own.version, record.version) + 1",
+        "    version = own.version",
         "tests.test_membership",
     ),
     Mutation(
