Bound the replies between nodes that take each other for dead

No way to it is known in the product: a refutation always has a later version. Replies are limited to 128 a period and node.

--- a/comfreyusher/membership/_deaths.py
+++ b/comfreyusher/membership/_deaths.py
@@ -14,6 +14,8 @@
 # How many dead members a node contacts each period, and for how long after a death.
 DEAD_CONTACTS = 3
 DEAD_CONTACT_S = 30.0
+# Bounds the datagrams of two nodes that do not accept each other's records.
+MAX_REPLIES_PER_PERIOD = 128
 
 
 def reply_to_death(state, message):
@@ -23,15 +25,17 @@
     """
     sender = state.members.get(member_name(message.sender))
     if sender is None or sender.node != message.sender:
-        return ()
+        return end_pipe(state, None)
     records = ()
     if any(is_death(state.own, record) for record in message.members):
         records += (state.own,)
     if sender.standing is MemberStanding.DEAD:
         records += (sender,)
-    if not records:
-        return ()
-    return (send_to(state, sender, GossipKind.PAGE, members=records),)
+    if not records or state.death_replies >= MAX_REPLIES_PER_PERIOD:
+        return end_pipe(state, None)
+    state = replace(state, death_replies=state.death_replies + 1)
+    reply = send_to(state, sender, GossipKind.PAGE, members=records)
+    return end_pipe(state, None, reply)
 
 
 def announce_own(state, now, settings):
--- a/comfreyusher/membership/_protocol.py
+++ b/comfreyusher/membership/_protocol.py
@@ -80,12 +80,12 @@
     for record in message.members:
         state = merge_record(state, record, now, settings)
     step = _handle_kind(state, message, now, settings)
-    replies = reply_to_death(step.state, message)
+    reply = reply_to_death(step.state, message)
+    messages = (*step.messages, *reply.messages)
     if not is_new_death:
-        return end_pipe(step.state, None, *step.messages, *replies)
-    announcement = announce_own(step.state, now, settings)
-    messages = (*step.messages, *replies, *announcement.messages)
-    return end_pipe(announcement.state, None, *messages)
+        return end_pipe(reply.state, None, *messages)
+    announcement = announce_own(reply.state, now, settings)
+    return end_pipe(announcement.state, None, *messages, *announcement.messages)
 
 
 def _handle_kind(state, message, now, settings):
@@ -215,6 +215,7 @@
 
 def _start_period(state, now, settings, shuffle):
     """Start a probe, and tell some dead members that they are taken for dead."""
+    state = replace(state, death_replies=0)
     step = _start_probe(state, now, settings, shuffle)
     contacts = contact_dead(step.state, now, shuffle)
     return end_pipe(step.state, None, *step.messages, *contacts)
--- a/comfreyusher/membership/_state.py
+++ b/comfreyusher/membership/_state.py
@@ -42,7 +42,8 @@
     round still has to ping. ``relayed_pings`` maps sequence numbers to pings sent
     for other nodes. ``early_ticks`` counts the first ticks after the start.
     ``next_page`` is the page of members to send next. ``announced_s`` is when this
-    node last sent its own record to its whole region.
+    node last sent its own record to its whole region. ``death_replies`` counts the
+    replies of this period to nodes that take others for dead.
     """
 
     own: MemberRecord
@@ -58,6 +59,7 @@
     early_ticks: int = 0
     next_page: int = 0
     announced_s: float = -math.inf
+    death_replies: int = 0
 
 
 def new_state(own):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -224,6 +224,21 @@
                     missing = network.find_unlisted(number)
                     self.assertEqual(missing & cut, set(), state.own.name)
 
+    # Guards against two nodes that answer each other without end, since one of them
+    # accepts no record of the other.
+    def test_replies_about_a_death_are_bounded(self):
+        network = Network(2)
+        network.run(2)
+        dead = replace(record(2), version=1, standing=MemberStanding.DEAD)
+        state = network.states[1]
+        state = replace(state, members=state.members.set(dead.name, dead))
+        unbeatable = (dead.incarnation + 1, 0, 0)
+        tombstones = state.tombstones.set(dead.name, (unbeatable, network.now))
+        network.states[1] = replace(state, tombstones=tombstones)
+        network.datagrams = 0
+        network.run(3)
+        self.assertLess(network.datagrams, 3 * 2 * 2 * 128)
+
     # Guards against a storm: each death that is refuted is told to a whole region.
     def test_a_returning_node_costs_few_datagrams(self):
         network = Network(54)
