--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 
+from comfreyusher.events import log_info
 from comfreyusher.feeds._state import (
     Position,
     add_removal_delays,
@@ -23,6 +24,7 @@
     record_send,
     split_into_pages,
 )
+from comfreyusher.feeds._view import PART
 from comfreyusher.flow import Subscribe
 from comfreyusher.messages import FeedWatermarks, ToNode
 from comfreyusher.platform import Topic
@@ -111,8 +113,11 @@
         self.pending_deltas = [
             record_send(delta) for delta in self.pending_deltas if delta.sends_left > 1
         ]
-        datagrams = len(self.waiting_nodes) * (len(pages) + 1)
-        return tuple(pages) if datagrams <= MAX_SLICES * self.slice_datagrams else ()
+        node_count = len(self.waiting_nodes)
+        if node_count * (len(pages) + 1) > MAX_SLICES * self.slice_datagrams:
+            log_info(PART, "deltas left out", nodes=node_count, pages=len(pages))
+            return ()
+        return tuple(pages)
 
     @property
     def slice_datagrams(self):
