--- a/comfreyusher/feeds/_publisher.py
+++ b/comfreyusher/feeds/_publisher.py
@@ -15,6 +15,7 @@
     add_removal_delays,
     keep_last_entries,
 )
+from comfreyusher.feeds._view import PART
 from comfreyusher.feeds._watermarks import (
     MAX_AGE_S,
     PendingDelta,
@@ -24,7 +25,6 @@
     record_send,
     split_into_pages,
 )
-from comfreyusher.feeds._view import PART
 from comfreyusher.flow import Subscribe
 from comfreyusher.messages import FeedWatermarks, ToNode
 from comfreyusher.platform import Topic
