--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -258,7 +258,7 @@
     def __init__(self):
         super().__init__()
         self.case = EntryCase()
-        self.now_sent = {}
+        self.sent_attempts = {}
         self.answers = []
         self.left = False
         self.body_ended = True
@@ -289,7 +289,7 @@
         return [a.key for a in self.request.attempts] if self.request else []
 
     def open_attempts(self):
-        return [sent for sent in self.now_sent.values() if not sent.ended]
+        return [sent for sent in self.sent_attempts.values() if not sent.ended]
 
     # Owners
 
@@ -405,13 +405,13 @@
     def check_send(self, start):
         assert not self.answers and not self.left, "sent after its answer"
         if not self.idempotent:
-            running = [s for s in self.now_sent.values() if not s.refused]
+            running = [s for s in self.sent_attempts.values() if not s.refused]
             assert not running, "sent again though it may have run"
-        self.now_sent[start.exchange] = Sent(start.exchange)
+        self.sent_attempts[start.exchange] = Sent(start.exchange)
 
     def end(self, key):
-        if key in self.now_sent:
-            self.now_sent[key].ended = True
+        if key in self.sent_attempts:
+            self.sent_attempts[key].ended = True
 
     def check_answer(self, head):
         self.answers.append(head.status)
@@ -419,7 +419,7 @@
         promised = outcome == "not-run"
         if not self.idempotent:
             promised = promised or head.status in NOT_RUN_STATUSES
-        may_have_run = any(not sent.refused for sent in self.now_sent.values())
+        may_have_run = any(not sent.refused for sent in self.sent_attempts.values())
         assert not (promised and may_have_run), f"{head.status} promises too much"
 
 
