--- /dev/null
+++ b/review/third/__init__.py
@@ -0,0 +1,1 @@
+"""Processes, clients and servers that the scripts of the third review share."""
