--- a/review/third/server.py
+++ b/review/third/server.py
@@ -1,7 +1,8 @@
 """A sound server of a service, in threads of the test's own process.
 
 The query of a request tells its work and the size of its answer, as
-``?work_ms=300&bytes=30000``.
+``?work_ms=300&bytes=30000``. Where ``faulty`` is set, ``cut=N`` in the query makes
+the server break off its answer after N bytes.
 """
 
 import hashlib
@@ -18,11 +19,12 @@
 class Server:
     """Runs requests one at a time on each connection, and records each run."""
 
-    def __init__(self, name, service, record, slots=8):
+    def __init__(self, name, service, record, slots=8, faulty=False):
         self.name = name
         self.service = service
         self.record = record
         self.slots = slots
+        self.faulty = faulty
         self.born_ms = int(time.time() * 1000)
         self.runs = []
         self.answers = {}
@@ -49,7 +51,18 @@
                             return
                         received += data
                     head, _, received = received.partition(b"\r\n\r\n")
-                    connection.sendall(self._answer(head))
+                    length = find_length(head)
+                    while len(received) < length:
+                        data = connection.recv(READ_BYTES)
+                        if not data:
+                            return
+                        received += data
+                    received = received[length:]
+                    answer, cut = self._answer(head)
+                    connection.sendall(answer[:cut] if cut else answer)
+                    if cut:
+                        time.sleep(0.05)  # the part arrives before the end
+                        return
             except OSError:
                 return
 
@@ -59,25 +72,39 @@
         headers = dict(line.lower().split(": ", 1) for line in lines[1:])
         if target == "/healthz":
             extra = f"X-Instance-Id: {self.name}\r\n"
-            return self._encode("200 OK", b"", extra)
+            return self._encode("200 OK", b"", extra), 0
         request_id = headers.get("x-request-id", "")
         extra = f"X-Request-Id: {request_id}\r\n"
         if headers.get("x-expect-instance", self.name) != self.name:
-            return self._encode("421 Misdirected Request", b"", extra)
+            return self._encode("421 Misdirected Request", b"", extra), 0
         query = urllib.parse.parse_qs(target.partition("?")[2])
         self.runs.append(request_id)
         self.record.write(f"{self.name} runs {request_id}: {method} {target}")
         time.sleep(int(query.get("work_ms", ["5"])[0]) / 1000)
         body = build_body(request_id, int(query.get("bytes", ["100"])[0]))
-        self.answers[request_id] = body
+        cut = int(query.get("cut", ["0"])[0]) if self.faulty else 0
+        if cut:
+            self.record.write(f"{self.name} breaks off its answer to {request_id}")
+        else:
+            self.answers[request_id] = body
         seal = hashlib.sha256(request_id.encode()).hexdigest()[:12]
-        return self._encode("200 OK", body, extra + f"X-Response-Seal: {seal}\r\n")
+        extra += f"X-Response-Seal: {seal}\r\n"
+        return self._encode("200 OK", body, extra), cut
 
     def _encode(self, status, body, extra):
         head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
         return head.encode() + body
 
 
+def find_length(head):
+    """Return the length of a request's body."""
+    for line in head.lower().split(b"\r\n")[1:]:
+        name, _, value = line.partition(b": ")
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def build_body(request_id, size):
     """Return the body of the answer to a request, which differs for each."""
     unit = hashlib.sha256(request_id.encode()).hexdigest().encode()
