--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # this only compiles the project's own and those of the review; nothing is downloaded.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q standins review/third review/11 review/12 review/13
+python3 -m compileall -q standins review/third review/11 review/12 review/13 review/14
--- a/review/third/deployment.py
+++ b/review/third/deployment.py
@@ -94,6 +94,7 @@
         self.processes = []
         self.nodes = {}
         self.store_port = 0
+        self.gossip_seeds = []
 
     def __enter__(self):
         return self
@@ -157,11 +158,16 @@
 
     # Nodes -----------------------------------------------------------------
 
-    def prepare_node(self, name, zone="zone-a", seeds=()):
-        """Write the settings of a node; return what is needed to start it."""
+    def prepare_node(self, name, zone="zone-a", peers=None):
+        """Write the settings of a node; return what is needed to start it.
+
+        ``peers`` replaces settings of its addresses for other nodes.
+        """
         ports = {key: find_free_port() for key in ("front", "ready", "control", "peer")}
+        settings = self._settings(name, zone, ports)
+        settings["peers"].update(peers or {})
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(self._settings(name, zone, ports, seeds)))
+        path.write_text(json.dumps(settings))
         log_path = self.folder / f"{name}.log"
         return Node(name, None, ports["front"], ports["ready"], path, log_path)
 
@@ -178,9 +184,12 @@
         self.nodes[node.name] = node
         return node
 
-    def start_nodes(self, names):
-        """Start nodes, and wait until all of them are ready."""
-        nodes = [self.prepare_node(name) for name in names]
+    def start_nodes(self, names, links=None):
+        """Start nodes, behind links if given; wait until all of them are ready."""
+        peers = {name: links.add(name) if links else {} for name in names}
+        ports = [p["advertised_gossip_port"] for p in peers.values() if p]
+        self.gossip_seeds = [f"{HOST}:{port}" for port in ports[:3]]
+        nodes = [self.prepare_node(name, peers=peers[name]) for name in names]
         for node in nodes:
             self.run_node(node)
         for node in nodes:
@@ -207,10 +216,11 @@
         except OSError:
             return False
 
-    def _settings(self, name, zone, ports, seeds):
+    def _settings(self, name, zone, ports):
         bounds = self.bounds
         fleet = {
-            "seeds": list(seeds),
+            "seeds": [],
+            "gossip_seeds": self.gossip_seeds,
             "regions": self.zones,
             "upstream_drain": bounds["drain"],
             "configuration_apply": bounds["config_apply"],
@@ -273,6 +283,12 @@
     return {"entry_kind": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def build_tenant(name, key, rate_per_s, burst):
+    """Return a tenant of a configuration."""
+    spec = {"api_keys": [key], "rate_per_s": rate_per_s, "burst": burst}
+    return {"entry_kind": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def build_service(name):
     """Return a service of a configuration."""
     return {
--- a/review/third/server.py
+++ b/review/third/server.py
@@ -26,7 +26,7 @@
         self.slots = slots
         self.faulty = faulty
         self.born_ms = int(time.time() * 1000)
-        self.runs = []
+        self.run_times = {}
         self.answers = {}
         self.listener = socket.create_server((HOST, 0), backlog=128)
         self.port = self.listener.getsockname()[1]
@@ -78,7 +78,7 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             return self._encode("421 Misdirected Request", b"", extra), 0
         query = urllib.parse.parse_qs(target.partition("?")[2])
-        self.runs.append(request_id)
+        self.run_times[request_id] = time.monotonic()
         self.record.write(f"{self.name} runs {request_id}: {method} {target}")
         time.sleep(int(query.get("work_ms", ["5"])[0]) / 1000)
         body = build_body(request_id, int(query.get("bytes", ["100"])[0]))
