--- a/review/third/deployment.py
+++ b/review/third/deployment.py
@@ -298,10 +298,10 @@
     }
 
 
-def build_limits():
+def build_limits(max_header_bytes=32768):
     """Return the limits of a configuration."""
     spec = {
-        "max_header_bytes": 32768,
+        "max_header_bytes": max_header_bytes,
         "max_body_bytes": 1048576,
         "header_timeout": "5s",
         "idle_timeout": "60s",
--- a/review/third/server.py
+++ b/review/third/server.py
@@ -14,6 +14,8 @@
 from review.third.deployment import HOST
 
 READ_BYTES = 65536
+# A part of an answer stands for this time before its connection ends.
+CUT_AFTER_S = 0.5
 
 
 class Server:
@@ -61,7 +63,7 @@
                     answer, cut = self._answer(head)
                     connection.sendall(answer[:cut] if cut else answer)
                     if cut:
-                        time.sleep(0.05)  # the part arrives before the end
+                        time.sleep(CUT_AFTER_S)
                         return
             except OSError:
                 return
