--- a/review/third/deployment.py
+++ b/review/third/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -21,7 +22,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
-END_TIMEOUT_S = 15.0
+PORTS = (15000, 32000)
+used_ports = set()
 BOUNDS = {
     "drain": "2500ms",
     "config_apply": "2500ms",
@@ -39,12 +41,18 @@
 
 
 def find_free_port():
-    """Return a loopback port that is free for TCP and UDP."""
-    for _ in range(100):
+    """Return a loopback port that is free for TCP and UDP, a different one each time.
+
+    It is below those that the kernel gives to connections, since a node binds it later.
+    """
+    for _ in range(1000):
+        port = random.randint(*PORTS)
+        if port in used_ports:
+            continue
+        used_ports.add(port)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
